--- a/core/agent_control.c
+++ b/core/agent_control.c
@@ -153,7 +153,11 @@
 
   if (agent->ready_ms == 0 || age >= RAMP_MS)
     return RAMP_FULL;
-  return RAMP_START + (uint32_t)((RAMP_FULL - RAMP_START) * age / RAMP_MS);
+  /* Squared: caches and pools fill late, and a share that grows evenly is
+     used up ahead of time by flows that stay.  */
+  return RAMP_START
+         + (uint32_t)((RAMP_FULL - RAMP_START) * age * age
+                      / (RAMP_MS * RAMP_MS));
 }
 
 void
--- a/core/agent_place.c
+++ b/core/agent_place.c
@@ -33,15 +33,18 @@
    tell nothing of the few that make most of the work.  Reports lag, so each
    flow placed since the last counts as one of mean work, and so does the one
    to be placed: a server without any, but still starting, is not the least
-   burdened for that.  */
+   burdened for that.  First packets are spread over all homes by their hash, so
+   what this home placed at a peer stands for as many times that as there are
+   homes.  */
 static double
 burden (const struct bl_view *view,
         const struct bl_candidate *c,
         const struct totals *t)
 {
   const struct bl_peer *p = &view->peers[c - view->pool.items];
-  double flows = (double)p->flows + p->placed + 1;
-  double load = p->load + (p->placed + 1) * t->load / t->flows;
+  double placed = (double)p->placed * (double)view->peer_count + 1;
+  double flows = (double)p->flows + placed;
+  double load = p->load + placed * t->load / t->flows;
   double weight = c->weight > 0 ? c->weight : 1;
   double ramp = p->ramp > 0 ? p->ramp : 1000;
 
--- a/test/test_slow_start.c
+++ b/test/test_slow_start.c
@@ -1,6 +1,6 @@
 /* test_slow_start.c -- a server that has just started takes few flows
 
-   Replays one trace; see KNOWN-RED.txt.  */
+   Replays one trace; see docs/PROOFS.md.  */
 
 #include "test/scenario.h"
 
