--- a/Makefile
+++ b/Makefile
@@ -13,6 +13,7 @@
 IO      = $(patsubst %.c,$(B)/%.o,$(filter-out io/stack.c,$(wildcard io/*.c)))
 STACK   = $(B)/io/stack.o
 DAEMON  = $(patsubst %.c,$(B)/%.o,$(wildcard daemon/*.c))
+PLATFORM = $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
 CTL     = $(patsubst %.c,$(B)/%.o,$(wildcard ctl/*.c))
 TESTS   = $(patsubst test/%.c,$(B)/%,$(wildcard test/test_*.c))
 BENCHES = $(patsubst bench/%.c,$(B)/%,$(wildcard bench/bench_*.c))
@@ -27,6 +28,9 @@
 programs: $(B)/boragelatchd $(B)/boragelatchctl $(B)/standin-platform \
           $(B)/standin-backend $(B)/standin-fabric
 
+# What runs on the users' machines.
+programs-deployed: $(B)/boragelatchd $(B)/boragelatchctl
+
 $(B)/%.o: %.c
 	@mkdir -p $(dir $@)
 	@$(CC) $(CPPFLAGS) $(CFLAGS) -MMD -c $< -o $@
@@ -34,7 +38,7 @@
 $(B)/libboragelatch.a: $(CORE)
 	@ar rcs $@ $^
 
-$(B)/boragelatchd: $(DAEMON) $(IO) $(STACK) $(B)/libboragelatch.a
+$(B)/boragelatchd: $(DAEMON) $(PLATFORM) $(IO) $(STACK) $(B)/libboragelatch.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS) $(IO_LIBS) -lcivetweb -lpopt -llwip
 
 $(B)/boragelatchctl: $(CTL) $(IO) $(B)/libboragelatch.a
@@ -63,11 +67,12 @@
 clean:
 	rm -rf $(B)
 
-.PHONY: all programs clean
+.PHONY: all programs programs-deployed clean
 .SECONDARY:
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 
 SOURCES = $(wildcard *.h core/*.[ch] io/*.[ch] daemon/*.[ch] ctl/*.[ch] \
+          platform/*.[ch] \
           standin/*.[ch] test/*.[ch] bench/*.[ch] examples/*.[ch])
 
 packages:
--- /dev/null
+++ b/core/dispatch_inner.h
@@ -0,0 +1,162 @@
+/* dispatch_inner.h -- the inside of a dispatcher, shared by its modules  */
+
+#ifndef BL_DISPATCH_INNER_H
+#define BL_DISPATCH_INNER_H
+
+#include "core/dispatch.h"
+#include "core/msg.h"
+
+#include <uthash.h>
+
+#define BL_TRIES_MAX 4 /* backend servers that one first packet is offered */
+
+/* A first packet's offer to one backend server.  */
+struct bl_try
+{
+  struct bl_target *target;
+  uint64_t sent_ms;
+  uint64_t born; /* of the backend server that accepted */
+  uint32_t seq;  /* its initial sequence number */
+  bool accepted;
+  bool refused;
+};
+
+enum bl_phase
+{
+  BL_PHASE_OPENING,   /* offered; the caller has not chosen an answer yet */
+  BL_PHASE_OPEN,      /* the owner is known */
+  BL_PHASE_SEARCHING, /* agents are asked who owns it */
+};
+
+enum bl_reply
+{
+  BL_REPLY_NONE,
+  BL_REPLY_DENIED,
+  BL_REPLY_UNSURE,
+};
+
+/* An agent that was asked whether it owns a flow.  */
+struct bl_asked
+{
+  struct bl_target *target;
+  enum bl_reply reply;
+};
+
+struct bl_inquiry
+{
+  uint64_t started_ms;
+  uint64_t probed_ms; /* when the packet was last offered to one unsure */
+  size_t count;
+  struct bl_asked *asked; /* owned */
+  struct bl_target *probed;
+  bool everywhere; /* not only the route's own services were asked */
+};
+
+struct bl_passing
+{
+  struct bl_flow_key key;
+  enum bl_phase phase;
+  uint64_t service; /* hash of the service it was placed in */
+  uint64_t touched_ms;
+  uint64_t since_ms;  /* of the phase */
+  uint32_t first_seq; /* of the caller's first packet */
+  uint32_t last_ack;  /* of the caller's last packet */
+  struct bl_target *owner;
+  uint64_t owner_born;
+  uint64_t owner_incarnation;
+  size_t try_count;
+  struct bl_try tries[BL_TRIES_MAX];
+  struct bl_inquiry inquiry;
+  uint8_t *held; /* owned; a packet that may have to be sent again */
+  size_t held_len;
+  bool held_data; /* it carries bytes of the caller */
+  bool pending;   /* in the list of flows with something to wait for */
+  struct bl_passing *prev;
+  struct bl_passing *next;
+  UT_hash_handle hh;
+};
+
+struct bl_dispatch
+{
+  struct bl_dispatch_settings settings;
+  struct bl_dispatch_ops ops;
+  void *ctx;
+  struct bl_random random;
+  uint64_t now; /* of the call under way */
+  uint64_t started_ms;
+  struct bl_fleet fleet;
+  struct bl_table *table; /* owned; NULL before the first */
+  struct bl_passing *flows;
+  struct bl_passing *pending;
+  uint64_t next_sweep_ms;
+  uint64_t next_seed_ms;
+  uint64_t next_share_ms;
+  struct bl_buffer buffer;
+  uint64_t counters[BL_DISPATCH_COUNTERS];
+};
+
+/* A caller's packet with its bytes.  */
+struct bl_bytes
+{
+  const struct bl_packet *packet;
+  const uint8_t *ptr;
+  size_t len;
+};
+
+/* dispatch.c */
+struct bl_passing *bl_passing_find (struct bl_dispatch *d,
+                                    const struct bl_flow_key *key);
+void bl_passing_remove (struct bl_dispatch *d, struct bl_passing *f);
+void bl_passing_hold (struct bl_passing *f, const struct bl_bytes *b);
+void bl_passing_wait (struct bl_dispatch *d, struct bl_passing *f, bool wait);
+void bl_passing_open (struct bl_dispatch *d,
+                      struct bl_passing *f,
+                      struct bl_target *owner,
+                      uint64_t born);
+void bl_dispatch_forward (struct bl_dispatch *d,
+                          const struct bl_passing *f,
+                          struct bl_target *to,
+                          const uint8_t *packet,
+                          size_t len);
+void bl_dispatch_note (struct bl_dispatch *d,
+                       const char *what,
+                       const char *why,
+                       const struct bl_flow_key *flow,
+                       const struct bl_target *target,
+                       uint64_t age_ms);
+/* Resets the caller and forgets the flow.  */
+void bl_dispatch_end (struct bl_dispatch *d,
+                      struct bl_passing *f,
+                      enum bl_dispatch_counter counter,
+                      const char *why);
+
+/* dispatch_place.c */
+/* Offers the held first packet to one more backend server.  False when there
+   is none left.  */
+bool bl_place_next (struct bl_dispatch *d, struct bl_passing *f);
+void bl_place_first (struct bl_dispatch *d, const struct bl_bytes *b);
+void bl_place_answer (struct bl_dispatch *d,
+                      struct bl_passing *f,
+                      struct bl_target *from,
+                      const struct bl_link *link);
+/* The caller's choice among those that accepted; NULL when none fits ACK.  */
+struct bl_try *bl_place_chosen (struct bl_passing *f, uint32_t ack);
+void bl_place_wait (struct bl_dispatch *d, struct bl_passing *f);
+
+/* dispatch_inquiry.c */
+void bl_inquiry_start (struct bl_dispatch *d,
+                       struct bl_passing *f,
+                       const struct bl_bytes *b);
+void bl_inquiry_answer (struct bl_dispatch *d,
+                        struct bl_passing *f,
+                        struct bl_target *from,
+                        const struct bl_link *link);
+void bl_inquiry_wait (struct bl_dispatch *d, struct bl_passing *f);
+
+/* dispatch_members.c */
+void bl_members_tick (struct bl_dispatch *d);
+int bl_members_message (struct bl_dispatch *d,
+                        struct bl_addr from,
+                        const struct bl_msg *msg);
+
+#endif
--- /dev/null
+++ b/core/dispatch_inquiry.c
@@ -0,0 +1,218 @@
+/* dispatch_inquiry.c -- finding the owner of a flow that is not known here
+
+   Load pattern: a balancer joins, stops or restarts, and packets of many open
+   flows reach another one within a moment.
+
+   The agents of the route's services are asked; if all of these deny, all
+   others are, for the route may have led to other services when the flow
+   began.  The packet is held meanwhile.  An agent that started after its
+   backend server cannot deny: the packet is offered to such ones, one after
+   the other, and the backend server itself returns what it does not hold.
+
+   When everybody has denied, the backend server is gone and the caller is
+   reset, but only if the packet carries data: one without may belong to a
+   flow that both ends have closed.  Silence of any agent that is not dark
+   keeps the answer open, and the packet is dropped.  */
+
+#include "core/dispatch_inner.h"
+
+#include <stdlib.h>
+
+#define INQUIRY_MS 180 /* callers send again after 200 ms */
+#define PROBE_MS   50  /* until a backend server would have returned it */
+
+static bool
+serves_route (const struct bl_table_route *route, uint64_t service)
+{
+  for (size_t i = 0; route != NULL && i < route->split_count; i++)
+    if (route->splits[i].service_hash == service)
+      return true;
+  return false;
+}
+
+static void
+ask (struct bl_dispatch *d, struct bl_passing *f, struct bl_target *t)
+{
+  struct bl_link link = {
+    .type = BL_LINK_QUERY,
+    .service = t->service,
+    .key = f->key,
+    .ack = f->last_ack,
+  };
+
+  f->inquiry.asked[f->inquiry.count++] = (struct bl_asked){ .target = t };
+  bl_target_asked (t, d->now);
+  d->ops.to_agent (d->ctx, bl_target_data (t), &link, NULL, 0);
+}
+
+/* Asks the agents that serve the route, or else all others.  Returns how
+   many.  */
+static size_t
+ask_some (struct bl_dispatch *d, struct bl_passing *f, bool of_route)
+{
+  const struct bl_table_route *route
+      = bl_table_find (d->table, f->key.dst_ip, f->key.dst_port);
+  size_t before = f->inquiry.count;
+  struct bl_target *t;
+  struct bl_target *next;
+
+  HASH_ITER (hh, d->fleet.targets, t, next)
+  {
+    if (t->record.kind != BL_KIND_BACKEND || t->record.state >= BL_STATE_LEFT)
+      continue;
+    if (serves_route (route, t->service) == of_route)
+      ask (d, f, t);
+  }
+  return f->inquiry.count - before;
+}
+
+void
+bl_inquiry_start (struct bl_dispatch *d,
+                  struct bl_passing *f,
+                  const struct bl_bytes *b)
+{
+  size_t cap = HASH_COUNT (d->fleet.targets) + 1;
+
+  bl_passing_hold (f, b);
+  free (f->inquiry.asked);
+  f->inquiry = (struct bl_inquiry){ .started_ms = d->now };
+  f->inquiry.asked = calloc (cap, sizeof *f->inquiry.asked);
+  if (f->inquiry.asked == NULL)
+    {
+      bl_passing_remove (d, f);
+      return;
+    }
+  f->phase = BL_PHASE_SEARCHING;
+  f->owner = NULL;
+  f->since_ms = d->now;
+  d->counters[BL_DISPATCH_SEARCHES]++;
+  bl_passing_wait (d, f, true);
+  ask_some (d, f, true);
+}
+
+static void
+drop (struct bl_dispatch *d, struct bl_passing *f, const char *why)
+{
+  d->counters[BL_DISPATCH_DROPPED]++;
+  bl_dispatch_note (d, "dropped", why, &f->key, NULL, d->now - f->since_ms);
+  bl_passing_remove (d, f);
+}
+
+/* Nobody holds the flow.  */
+static void
+nobody (struct bl_dispatch *d, struct bl_passing *f)
+{
+  if (!f->inquiry.everywhere)
+    {
+      f->inquiry.everywhere = true;
+      if (ask_some (d, f, false) > 0)
+        return;
+    }
+  if (f->held_data && bl_fleet_sees (&d->fleet))
+    bl_dispatch_end (d, f, BL_DISPATCH_LOST, "denied_by_all");
+  else
+    drop (d, f, "denied_by_all");
+}
+
+static void
+found (struct bl_dispatch *d,
+       struct bl_passing *f,
+       struct bl_target *owner,
+       uint64_t born,
+       bool send)
+{
+  d->counters[BL_DISPATCH_FOUND]++;
+  bl_dispatch_note (d, "owner_found", send ? "claimed" : "not_returned",
+                    &f->key, owner, d->now - f->since_ms);
+  if (send && f->held != NULL)
+    bl_dispatch_forward (d, f, owner, f->held, f->held_len);
+  bl_passing_open (d, f, owner, born);
+}
+
+/* Offers the packet to the next agent that could not tell.  */
+static bool
+probe_next (struct bl_dispatch *d, struct bl_passing *f)
+{
+  struct bl_inquiry *q = &f->inquiry;
+
+  for (size_t i = 0; i < q->count && f->held != NULL; i++)
+    {
+      if (q->asked[i].reply != BL_REPLY_UNSURE)
+        continue;
+      q->asked[i].reply = BL_REPLY_DENIED;
+      q->probed = q->asked[i].target;
+      q->probed_ms = d->now;
+      bl_dispatch_forward (d, f, q->probed, f->held, f->held_len);
+      return true;
+    }
+  q->probed = NULL;
+  return false;
+}
+
+/* Whether every agent that was asked, but dark ones, has answered.  */
+static bool
+all_answered (const struct bl_inquiry *q)
+{
+  for (size_t i = 0; i < q->count; i++)
+    if (q->asked[i].reply == BL_REPLY_NONE && !q->asked[i].target->dark)
+      return false;
+  return true;
+}
+
+static void
+go_on (struct bl_dispatch *d, struct bl_passing *f)
+{
+  if (f->inquiry.probed != NULL || !all_answered (&f->inquiry))
+    return;
+  if (!probe_next (d, f))
+    nobody (d, f);
+}
+
+void
+bl_inquiry_answer (struct bl_dispatch *d,
+                   struct bl_passing *f,
+                   struct bl_target *from,
+                   const struct bl_link *link)
+{
+  struct bl_inquiry *q = &f->inquiry;
+
+  if (link->type == BL_LINK_OWNED)
+    {
+      found (d, f, from, link->born, from != q->probed);
+      return;
+    }
+  if (link->type == BL_LINK_UNKNOWN)
+    {
+      if (from == q->probed)
+        q->probed = NULL;
+    }
+  else
+    for (size_t i = 0; i < q->count; i++)
+      if (q->asked[i].target == from && q->asked[i].reply == BL_REPLY_NONE)
+        q->asked[i].reply
+            = link->type == BL_LINK_DENIED ? BL_REPLY_DENIED : BL_REPLY_UNSURE;
+  go_on (d, f);
+}
+
+void
+bl_inquiry_wait (struct bl_dispatch *d, struct bl_passing *f)
+{
+  struct bl_inquiry *q = &f->inquiry;
+
+  if (q->probed != NULL)
+    {
+      if (d->now - q->probed_ms > PROBE_MS)
+        found (d, f, q->probed, q->probed->born, false);
+      return;
+    }
+  if (q->count == 0 || all_answered (q))
+    {
+      go_on (d, f);
+      return;
+    }
+  if (d->now - q->started_ms <= INQUIRY_MS)
+    return;
+  /* Those that cannot tell may still hold it, whoever else is silent.  */
+  if (!probe_next (d, f))
+    drop (d, f, "no_answer");
+}
--- /dev/null
+++ b/core/fleet.h
@@ -0,0 +1,68 @@
+/* fleet.h -- the instances that a balancer knows, and how they answer  */
+
+#ifndef BL_FLEET_H
+#define BL_FLEET_H
+
+#include "core/store.h"
+
+#include <uthash.h>
+
+/* An instance: an agent with its backend server, or another balancer.  */
+struct bl_target
+{
+  struct bl_name id;
+  struct bl_record record;
+  uint64_t service;  /* hash of its service's name */
+  uint64_t born;     /* start of the backend server; 0: not known */
+  uint64_t heard_ms; /* last message from it; 0: never */
+  uint64_t asked_ms; /* oldest question without an answer; 0: none open */
+  uint64_t pinged_ms;
+  bool suspect; /* has left a question open for too long */
+  bool dark;    /* has answered nothing for so long that it counts as gone */
+  uint64_t config_version; /* a balancer's */
+  uint64_t digest;         /* of a balancer's records */
+  /* Load, as last told, and what was placed there since.  */
+  uint32_t busy;
+  uint32_t flows;
+  uint32_t placed;
+  uint64_t warm_ms; /* since when it takes new flows; 0: not yet seen to */
+  UT_hash_handle hh;
+};
+
+/* Answers that a question may wait for before its target is suspected, and
+   before it counts as gone.  */
+#define BL_SUSPECT_MS 150
+#define BL_DARK_MS    1000
+
+struct bl_fleet
+{
+  struct bl_store *store;    /* owned */
+  struct bl_target *targets; /* owned; by name */
+  size_t backend_count;
+  size_t dark_count; /* agents that count as gone */
+};
+
+int bl_fleet_init (struct bl_fleet *fleet);
+void bl_fleet_clear (struct bl_fleet *fleet);
+/* Takes RECORD in when it replaces what is held.  Returns its target, or NULL
+   when the record is no news or has left.  */
+struct bl_target *bl_fleet_learn (struct bl_fleet *fleet,
+                                  uint64_t now,
+                                  const struct bl_record *record);
+struct bl_target *bl_fleet_find (const struct bl_fleet *fleet,
+                                 const struct bl_name *id);
+/* The target whose packets or messages come from ADDR, or NULL.  */
+struct bl_target *bl_fleet_at (const struct bl_fleet *fleet,
+                               struct bl_addr addr);
+void bl_target_heard (struct bl_target *target, uint64_t now);
+/* Notes a question to TARGET, whose silence will count against it.  */
+void bl_target_asked (struct bl_target *target, uint64_t now);
+/* Marks who has been silent for too long.  */
+void bl_fleet_judge (struct bl_fleet *fleet, uint64_t now);
+/* Whether silence tells of the others rather than of this process: at least
+   half of the agents still answer.  */
+bool bl_fleet_sees (const struct bl_fleet *fleet);
+struct bl_addr bl_target_data (const struct bl_target *target);
+struct bl_addr bl_target_control (const struct bl_target *target);
+
+#endif
--- /dev/null
+++ b/core/link.c
@@ -0,0 +1,159 @@
+/* link.c -- messages about single flows, to and from MessagePack
+
+   An array of fixed shape, like the header of forward.c: the library checks
+   the length of each field, this module its type and range.  A packet follows
+   its message directly.  */
+
+#include "core/link.h"
+#include "core/bounds.h"
+
+#include <msgpack.h>
+#include <string.h>
+
+#define LINK_FIELDS 11
+#define KEY_FIELDS  4
+
+static const char *const reason_names[] = {
+  [BL_REASON_NONE] = "none",         [BL_REASON_SERVICE] = "other_service",
+  [BL_REASON_DRAINING] = "draining", [BL_REASON_FULL] = "full",
+  [BL_REASON_DOWN] = "down",
+};
+
+const char *
+bl_link_reason_name (enum bl_link_reason reason)
+{
+  return reason < BL_REASON_END ? reason_names[reason] : "unknown";
+}
+
+/* Writes into a caller's fixed buffer instead of growing one.  */
+struct fixed
+{
+  uint8_t *buf;
+  size_t len;
+};
+
+static int
+fixed_write (void *data, const char *bytes, size_t len)
+{
+  struct fixed *f = data;
+
+  if (f->len + len > BL_LINK_MAX)
+    return -1;
+  memcpy (f->buf + f->len, bytes, len);
+  f->len += len;
+  return 0;
+}
+
+size_t
+bl_link_encode (const struct bl_link *link, uint8_t *buf)
+{
+  struct fixed out = { .buf = buf };
+  msgpack_packer pk;
+
+  msgpack_packer_init (&pk, &out, fixed_write);
+  msgpack_pack_array (&pk, LINK_FIELDS);
+  msgpack_pack_uint8 (&pk, BL_LINK_VERSION);
+  msgpack_pack_uint8 (&pk, (uint8_t)link->type);
+  msgpack_pack_uint8 (&pk, (uint8_t)link->reason);
+  msgpack_pack_uint64 (&pk, link->service);
+  msgpack_pack_array (&pk, KEY_FIELDS);
+  msgpack_pack_uint32 (&pk, link->key.src_ip);
+  msgpack_pack_uint32 (&pk, link->key.dst_ip);
+  msgpack_pack_uint16 (&pk, link->key.src_port);
+  msgpack_pack_uint16 (&pk, link->key.dst_port);
+  msgpack_pack_uint32 (&pk, link->seq);
+  msgpack_pack_uint32 (&pk, link->ack);
+  msgpack_pack_uint64 (&pk, link->incarnation);
+  msgpack_pack_uint64 (&pk, link->born);
+  msgpack_pack_uint32 (&pk, link->busy);
+  msgpack_pack_uint32 (&pk, link->flows);
+  return out.len;
+}
+
+static bool
+get_uint (const msgpack_object *o, uint64_t max, uint64_t *value)
+{
+  if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER || o->via.u64 > max)
+    return false;
+  *value = o->via.u64;
+  return true;
+}
+
+static bool
+get_key (const msgpack_object *o, struct bl_flow_key *key)
+{
+  const msgpack_object *f = o->via.array.ptr;
+  uint64_t v[KEY_FIELDS];
+
+  if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != KEY_FIELDS)
+    return false;
+  for (int i = 0; i < KEY_FIELDS; i++)
+    if (!get_uint (&f[i], i < 2 ? UINT32_MAX : UINT16_MAX, &v[i]))
+      return false;
+  *key = (struct bl_flow_key){ .src_ip = (uint32_t)v[0],
+                               .dst_ip = (uint32_t)v[1],
+                               .src_port = (uint16_t)v[2],
+                               .dst_port = (uint16_t)v[3] };
+  return true;
+}
+
+static int
+read_fields (struct bl_link *link, const msgpack_object *root)
+{
+  const msgpack_object *f;
+  uint64_t version;
+  uint64_t type;
+  uint64_t reason;
+  uint64_t v[4];
+
+  if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size == 0)
+    return BL_EFORMAT;
+  f = root->via.array.ptr;
+  if (!get_uint (&f[0], UINT8_MAX, &version))
+    return BL_EFORMAT;
+  if (version != BL_LINK_VERSION)
+    return BL_EVERSION;
+  if (root->via.array.size != LINK_FIELDS
+      || !get_uint (&f[1], BL_LINK_TYPE_END - 1, &type) || type == 0
+      || !get_uint (&f[2], BL_REASON_END - 1, &reason)
+      || !get_uint (&f[3], UINT64_MAX, &link->service)
+      || !get_key (&f[4], &link->key) || !get_uint (&f[5], UINT32_MAX, &v[0])
+      || !get_uint (&f[6], UINT32_MAX, &v[1])
+      || !get_uint (&f[7], UINT64_MAX, &link->incarnation)
+      || !get_uint (&f[8], UINT64_MAX, &link->born)
+      || !get_uint (&f[9], UINT32_MAX, &v[2])
+      || !get_uint (&f[10], UINT32_MAX, &v[3]))
+    return BL_EFORMAT;
+  link->type = (enum bl_link_type)type;
+  link->reason = (enum bl_link_reason)reason;
+  link->seq = (uint32_t)v[0];
+  link->ack = (uint32_t)v[1];
+  link->busy = (uint32_t)v[2];
+  link->flows = (uint32_t)v[3];
+  return BL_OK;
+}
+
+int
+bl_link_decode (struct bl_link *link, const uint8_t *buf, size_t len)
+{
+  size_t window = len < BL_LINK_MAX ? len : BL_LINK_MAX;
+  msgpack_zone zone;
+  msgpack_object root;
+  size_t off = 0;
+  msgpack_unpack_return ret;
+  int err = bl_bounds_check (buf, window);
+
+  if (err != BL_OK)
+    return err;
+  if (!msgpack_zone_init (&zone, 1024))
+    return BL_ENOMEM;
+  err = BL_EFORMAT;
+  memset (link, 0, sizeof *link);
+  ret = msgpack_unpack ((const char *)buf, window, &off, &zone, &root);
+  if (ret == MSGPACK_UNPACK_CONTINUE)
+    err = BL_ESHORT;
+  else if (ret == MSGPACK_UNPACK_SUCCESS || ret == MSGPACK_UNPACK_EXTRA_BYTES)
+    err = read_fields (link, &root);
+  msgpack_zone_destroy (&zone);
+  return err == BL_OK ? (int)off : err;
+}
--- a/core/msg.h
+++ b/core/msg.h
@@ -29,6 +29,11 @@
   BL_MSG_CONFIG,       /* reply: SERVICES from CONFIG_FROM to CONFIG_VERSION */
   BL_MSG_PULL_VIEW,    /* request: service ABOUT and its backend servers */
   BL_MSG_VIEW,         /* reply: SERVICES[0] and RECORDS */
+  BL_MSG_HELLO,        /* balancer to instance: tell me your status; SEQ and
+                          INCARNATION are of the record held */
+  BL_MSG_STATUS,       /* answer, or unasked at a change: LOAD requests under
+                          way, FLOWS open, DIGEST start of the backend server;
+                          RECORDS[0] when the asker holds another */
   BL_MSG_TYPE_END,
 };
 
--- /dev/null
+++ b/core/pass.c
@@ -0,0 +1,802 @@
+/* pass.c -- an agent whose backend server ends flows itself
+
+   The backend server is the last word on which flows it holds: it returns
+   every packet of another.  So this agent's table of flows is a cache; after
+   a restart it is empty, and packets are simply handed on.  What comes back
+   fills it again.
+
+   Draining is enforced here: once a heartbeat says so, no first packet is
+   handed on, whatever balancers believe.  A packet that was meant for another
+   service, by an old table, never reaches the backend server.
+
+   A backend server that leaves packets without an answer is checked by
+   opening a connection; if that is turned down, it is gone, and balancers
+   are told, so that callers of its flows learn at once.  */
+
+#include "core/pass.h"
+#include "core/msg.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <uthash.h>
+
+#define QUIET_MS       150   /* without an answer until a check */
+#define CHECK_MS       250   /* between two checks */
+#define START_CHECK_MS 100   /* the same before the first heartbeat */
+#define START_CHECKS   20    /* checks made then, at most */
+#define MISSED_BEATS   3     /* heartbeats missed until a check */
+#define UNSURE_MS      17000 /* flows that live have shown themselves by then */
+#define IDLE_MS        20000 /* until a flow is forgotten */
+#define CLOSED_MS      3000  /* the same once an end has closed it */
+#define BUSY_MAX_MS    8000  /* an answer that late will not come */
+#define SWEEP_MS       1000
+#define WATCHER_MS     10000 /* a balancer that asked is told for so long */
+#define WATCHERS_MAX   1024
+#define ASKERS_MAX     1024
+#define LONELY_MS      1500 /* without a balancer until the seeds are told */
+#define ACK_WINDOW     (1u << 20)
+
+static const char *const counter_names[] = {
+  [BL_PASS_DELIVERED] = "packets_delivered",
+  [BL_PASS_ANSWERED] = "packets_answered",
+  [BL_PASS_ACCEPTED] = "flows_accepted",
+  [BL_PASS_REFUSED] = "flows_refused",
+  [BL_PASS_RETURNED] = "packets_returned",
+  [BL_PASS_WRONG_SERVICE] = "packets_of_other_services",
+  [BL_PASS_BAD] = "messages_malformed",
+  [BL_PASS_HEARTBEATS] = "heartbeats",
+  [BL_PASS_BAD_HEARTBEATS] = "heartbeats_ignored",
+};
+
+struct held
+{
+  struct bl_flow_key key;
+  uint64_t touched_ms;
+  uint64_t busy_ms; /* since when a request is under way; 0: none is */
+  uint32_t first_seq;
+  uint32_t iss; /* initial sequence number of the backend server */
+  bool iss_known;
+  bool open;
+  bool closed;
+  bool told; /* the asker knows that the flow is here */
+  struct bl_addr asker;
+  UT_hash_handle hh;
+};
+
+struct watcher
+{
+  struct bl_addr addr;
+  uint64_t heard_ms;
+};
+
+struct bl_pass
+{
+  struct bl_pass_settings settings;
+  struct bl_pass_ops ops;
+  void *ctx;
+  uint64_t now; /* of the call under way */
+  uint64_t started_ms;
+  struct bl_record self;
+  struct held *flows;
+  uint32_t busy;
+  /* The backend server.  */
+  struct bl_name backend; /* empty: not known */
+  uint64_t born;
+  uint64_t beat_seq;
+  uint64_t beat_ms; /* last heartbeat; 0: none */
+  bool left;
+  uint64_t unanswered_ms; /* oldest packet without an answer; 0: none */
+  uint64_t checked_ms;
+  unsigned start_checks;
+  /* Balancers.  */
+  size_t watcher_count;
+  struct watcher watchers[WATCHERS_MAX];
+  size_t asker_count;
+  struct bl_addr askers[ASKERS_MAX];
+  uint64_t next_seed_ms;
+  uint64_t next_sweep_ms;
+  struct bl_buffer buffer;
+  uint64_t counters[BL_PASS_COUNTERS];
+};
+
+struct bl_pass *
+bl_pass_new (const struct bl_pass_settings *settings,
+             const struct bl_pass_ops *ops,
+             void *ctx)
+{
+  struct bl_pass *p = calloc (1, sizeof *p);
+
+  if (p == NULL)
+    return NULL;
+  p->settings = *settings;
+  p->ops = *ops;
+  p->ctx = ctx;
+  p->self = settings->self;
+  p->self.state = BL_STATE_STARTING;
+  p->self.seq = 1;
+  return p;
+}
+
+static void
+forget (struct bl_pass *p, struct held *f)
+{
+  if (f->busy_ms != 0)
+    p->busy--;
+  HASH_DEL (p->flows, f);
+  free (f);
+}
+
+static void
+forget_all (struct bl_pass *p)
+{
+  struct held *f;
+  struct held *next;
+
+  HASH_ITER (hh, p->flows, f, next)
+  forget (p, f);
+}
+
+void
+bl_pass_free (struct bl_pass *pass)
+{
+  if (pass == NULL)
+    return;
+  forget_all (pass);
+  bl_buffer_free (&pass->buffer);
+  free (pass);
+}
+
+static struct held *
+find (struct bl_pass *p, const struct bl_flow_key *key)
+{
+  struct held *f;
+
+  HASH_FIND (hh, p->flows, key, sizeof *key, f);
+  return f;
+}
+
+static struct held *
+get (struct bl_pass *p, const struct bl_flow_key *key)
+{
+  struct held *f = find (p, key);
+
+  if (f == NULL)
+    {
+      f = calloc (1, sizeof *f);
+      if (f == NULL)
+        return NULL;
+      f->key = *key;
+      HASH_ADD (hh, p->flows, key, sizeof f->key, f);
+    }
+  f->touched_ms = p->now;
+  return f;
+}
+
+static void
+set_busy (struct bl_pass *p, struct held *f, bool busy)
+{
+  if (busy == (f->busy_ms != 0))
+    return;
+  f->busy_ms = busy ? p->now : 0;
+  p->busy += busy ? 1 : -1;
+}
+
+/* -- telling balancers -- */
+
+static void
+send_status (struct bl_pass *p, struct bl_addr to, bool with_record)
+{
+  struct bl_msg msg = {
+    .type = BL_MSG_STATUS,
+    .from = p->self.id,
+    .load = p->busy,
+    .flows = HASH_COUNT (p->flows),
+    .digest = p->born,
+    .record_count = with_record ? 1 : 0,
+    .records = &p->self,
+  };
+
+  if (bl_msg_encode (&msg, &p->buffer) == BL_OK)
+    p->ops.send (p->ctx, to, p->buffer.ptr, p->buffer.len);
+}
+
+/* The record changed: everybody is told, and the store.  */
+static void
+announce (struct bl_pass *p, const char *why)
+{
+  p->self.seq++;
+  p->ops.decided (p->ctx, bl_state_name (p->self.state), why, NULL,
+                  p->beat_ms > 0 ? p->now - p->beat_ms : 0);
+  for (size_t i = 0; i < p->watcher_count; i++)
+    send_status (p, p->watchers[i].addr, true);
+  p->ops.publish (p->ctx, &p->self);
+}
+
+static void
+set_state (struct bl_pass *p, enum bl_state state, const char *why)
+{
+  if (p->self.state == state)
+    return;
+  p->self.state = state;
+  announce (p, why);
+}
+
+static void
+note_watcher (struct bl_pass *p, struct bl_addr addr)
+{
+  size_t stalest = 0;
+
+  for (size_t i = 0; i < p->watcher_count; i++)
+    {
+      if (bl_addr_equal (p->watchers[i].addr, addr))
+        {
+          p->watchers[i].heard_ms = p->now;
+          return;
+        }
+      if (p->watchers[i].heard_ms < p->watchers[stalest].heard_ms)
+        stalest = i;
+    }
+  if (p->watcher_count < WATCHERS_MAX)
+    stalest = p->watcher_count++;
+  p->watchers[stalest] = (struct watcher){ addr, p->now };
+}
+
+static void
+reply (struct bl_pass *p,
+       struct bl_addr to,
+       struct bl_link *link,
+       const uint8_t *packet,
+       size_t len)
+{
+  link->service = bl_name_hash (&p->self.service, 0);
+  link->incarnation = p->self.incarnation;
+  link->born = p->born;
+  link->busy = p->busy;
+  link->flows = HASH_COUNT (p->flows);
+  p->ops.to_balancer (p->ctx, to, link, packet, len);
+}
+
+static void
+refuse (struct bl_pass *p,
+        struct bl_addr to,
+        const struct bl_flow_key *key,
+        enum bl_link_reason reason)
+{
+  struct bl_link link
+      = { .type = BL_LINK_REFUSED, .reason = reason, .key = *key };
+
+  p->counters[BL_PASS_REFUSED]++;
+  p->ops.decided (p->ctx, "refused", bl_link_reason_name (reason), key,
+                  p->beat_ms > 0 ? p->now - p->beat_ms : 0);
+  reply (p, to, &link, NULL, 0);
+}
+
+static void
+tell_unknown (struct bl_pass *p,
+              struct bl_addr to,
+              const struct bl_packet *packet,
+              enum bl_link_reason reason,
+              const uint8_t *bytes,
+              size_t len)
+{
+  struct bl_link link = {
+    .type = BL_LINK_UNKNOWN,
+    .reason = reason,
+    .key = packet->key,
+    .ack = packet->ack,
+  };
+
+  p->counters[BL_PASS_RETURNED]++;
+  p->ops.decided (p->ctx, "not_held", bl_link_reason_name (reason),
+                  &packet->key, 0);
+  reply (p, to, &link, bytes, len);
+}
+
+/* -- packets to the backend server -- */
+
+/* A number that stands for a balancer in what the backend server returns;
+   0: none.  */
+static uint32_t
+token_of (struct bl_pass *p, struct bl_addr asker)
+{
+  for (size_t i = 0; i < p->asker_count; i++)
+    if (bl_addr_equal (p->askers[i], asker))
+      return (uint32_t)i + 1;
+  if (p->asker_count == ASKERS_MAX)
+    return 0;
+  p->askers[p->asker_count++] = asker;
+  return (uint32_t)p->asker_count;
+}
+
+static void
+deliver (struct bl_pass *p,
+         struct bl_addr from,
+         const struct bl_packet *packet,
+         const uint8_t *bytes,
+         size_t len)
+{
+  bool wants_answer = bl_packet_is_first (packet) || packet->payload_len > 0;
+
+  if (wants_answer && p->unanswered_ms == 0)
+    p->unanswered_ms = p->now;
+  p->counters[BL_PASS_DELIVERED]++;
+  p->ops.deliver (p->ctx, bytes, len, token_of (p, from));
+}
+
+static enum bl_link_reason
+why_not (const struct bl_pass *p)
+{
+  if (p->self.state == BL_STATE_READY)
+    return BL_REASON_NONE;
+  return p->self.state == BL_STATE_DRAINING ? BL_REASON_DRAINING
+                                            : BL_REASON_DOWN;
+}
+
+static void
+on_first (struct bl_pass *p,
+          struct bl_addr from,
+          const struct bl_packet *packet,
+          const uint8_t *bytes,
+          size_t len)
+{
+  enum bl_link_reason reason = why_not (p);
+  struct held *f;
+
+  if (reason != BL_REASON_NONE)
+    {
+      refuse (p, from, &packet->key, reason);
+      return;
+    }
+  f = get (p, &packet->key);
+  if (f == NULL)
+    return;
+  if (f->first_seq != packet->seq)
+    {
+      set_busy (p, f, false);
+      f->open = false;
+      f->closed = false;
+      f->iss_known = false;
+    }
+  f->first_seq = packet->seq;
+  f->told = false;
+  f->asker = from;
+  deliver (p, from, packet, bytes, len);
+}
+
+static void
+on_later (struct bl_pass *p,
+          struct bl_addr from,
+          const struct bl_packet *packet,
+          const uint8_t *bytes,
+          size_t len)
+{
+  struct held *f = find (p, &packet->key);
+
+  if (f != NULL)
+    {
+      f->touched_ms = p->now;
+      f->told = f->told && bl_addr_equal (f->asker, from);
+      f->asker = from;
+      f->open
+          = f->open || (f->iss_known && packet->ack - f->iss - 1 < ACK_WINDOW);
+      f->closed = f->closed || (packet->flags & (BL_TCP_FIN | BL_TCP_RST)) != 0;
+      if (packet->payload_len > 0)
+        set_busy (p, f, true);
+    }
+  deliver (p, from, packet, bytes, len);
+}
+
+static void
+on_packet (struct bl_pass *p,
+           struct bl_addr from,
+           const struct bl_link *link,
+           const struct bl_packet *packet,
+           const uint8_t *bytes,
+           size_t len)
+{
+  bool first = bl_packet_is_first (packet);
+
+  if (link->service != bl_name_hash (&p->self.service, 0))
+    {
+      p->counters[BL_PASS_WRONG_SERVICE]++;
+      if (first)
+        refuse (p, from, &packet->key, BL_REASON_SERVICE);
+      else
+        tell_unknown (p, from, packet, BL_REASON_SERVICE, bytes, len);
+    }
+  else if (first)
+    on_first (p, from, packet, bytes, len);
+  else if (p->self.state >= BL_STATE_LEFT)
+    tell_unknown (p, from, packet, BL_REASON_DOWN, bytes, len);
+  else
+    on_later (p, from, packet, bytes, len);
+}
+
+/* Whether flows may be held that this process, younger than they, has not
+   seen.  */
+static bool
+is_unsure (const struct bl_pass *p)
+{
+  if (p->self.state >= BL_STATE_LEFT || p->left)
+    return false;
+  if (p->born != 0 && p->born > p->self.incarnation)
+    return false;
+  return p->now - p->started_ms < UNSURE_MS;
+}
+
+static void
+on_query (struct bl_pass *p, struct bl_addr from, const struct bl_link *query)
+{
+  struct held *f = find (p, &query->key);
+  struct bl_link link = { .key = query->key, .ack = query->ack };
+
+  if (f != NULL
+      && (f->open || (f->iss_known && query->ack - f->iss - 1 < ACK_WINDOW)))
+    {
+      link.type = BL_LINK_OWNED;
+      f->asker = from;
+      f->told = true;
+    }
+  else
+    link.type = is_unsure (p) ? BL_LINK_UNSURE : BL_LINK_DENIED;
+  reply (p, from, &link, NULL, 0);
+}
+
+void
+bl_pass_link (struct bl_pass *pass,
+              uint64_t now,
+              struct bl_addr from,
+              const struct bl_link *link,
+              const struct bl_packet *p,
+              const uint8_t *bytes,
+              size_t len)
+{
+  pass->now = now;
+  if (link->type == BL_LINK_PACKET && p != NULL)
+    on_packet (pass, from, link, p, bytes, len);
+  else if (link->type == BL_LINK_QUERY)
+    on_query (pass, from, link);
+  else
+    pass->counters[BL_PASS_BAD]++;
+}
+
+/* -- packets of the backend server -- */
+
+static void
+on_accepted (struct bl_pass *p, struct held *f, const struct bl_packet *packet)
+{
+  struct bl_link link
+      = { .type = BL_LINK_ACCEPTED, .key = f->key, .seq = packet->seq };
+
+  f->iss = packet->seq;
+  f->iss_known = true;
+  f->told = true;
+  p->counters[BL_PASS_ACCEPTED]++;
+  if (f->asker.port != 0)
+    reply (p, f->asker, &link, NULL, 0);
+}
+
+static void
+note_outgoing (struct bl_pass *p, const struct bl_packet *packet)
+{
+  const uint8_t both = BL_TCP_SYN | BL_TCP_ACK;
+  struct held *f = get (p, &packet->key);
+  struct bl_link link = { .type = BL_LINK_OWNED, .key = packet->key };
+
+  if (f == NULL)
+    return;
+  if ((packet->flags & both) == both)
+    {
+      on_accepted (p, f, packet);
+      return;
+    }
+  f->open = true;
+  if (packet->payload_len > 0)
+    set_busy (p, f, false);
+  if (packet->flags & (BL_TCP_FIN | BL_TCP_RST))
+    f->closed = true;
+  if (f->told || f->asker.port == 0)
+    return;
+  f->told = true;
+  reply (p, f->asker, &link, NULL, 0);
+}
+
+void
+bl_pass_outgoing (struct bl_pass *pass,
+                  uint64_t now,
+                  const struct bl_packet *p,
+                  const uint8_t *bytes,
+                  size_t len)
+{
+  pass->now = now;
+  pass->unanswered_ms = 0;
+  note_outgoing (pass, p);
+  pass->counters[BL_PASS_ANSWERED]++;
+  pass->ops.answer (pass->ctx, p->key.src_ip, bytes, len);
+}
+
+void
+bl_pass_returned (struct bl_pass *pass,
+                  uint64_t now,
+                  const struct bl_packet *p,
+                  uint32_t token,
+                  const uint8_t *bytes,
+                  size_t len)
+{
+  struct held *f = find (pass, &p->key);
+  struct bl_addr asker = { .port = 0 };
+
+  pass->now = now;
+  pass->unanswered_ms = 0;
+  if (token > 0 && token <= pass->asker_count)
+    asker = pass->askers[token - 1];
+  else if (f != NULL)
+    asker = f->asker;
+  if (f != NULL && !(bl_packet_is_first (p) && f->open))
+    forget (pass, f);
+  if (asker.port == 0)
+    return;
+  if (bl_packet_is_first (p))
+    refuse (pass, asker, &p->key, BL_REASON_FULL);
+  else
+    tell_unknown (pass, asker, p, BL_REASON_NONE, bytes, len);
+}
+
+/* -- the backend server -- */
+
+/* Another process than before: it holds nothing of what was open.  */
+static void
+replace_backend (struct bl_pass *p, const struct bl_heartbeat *beat)
+{
+  forget_all (p);
+  p->backend = beat->id;
+  p->born = beat->born;
+  p->beat_seq = 0;
+  p->unanswered_ms = 0;
+  p->left = false;
+}
+
+static bool
+is_same_backend (const struct bl_pass *p, const struct bl_heartbeat *beat)
+{
+  if (!bl_name_equal (&p->backend, &beat->id))
+    return false;
+  return p->born == 0 || beat->born == 0 || p->born == beat->born;
+}
+
+static bool
+is_late (const struct bl_pass *p, const struct bl_heartbeat *beat)
+{
+  if (p->backend.len == 0)
+    return false;
+  if (beat->born != 0 && beat->born < p->born)
+    return true;
+  return is_same_backend (p, beat) && beat->seq <= p->beat_seq
+         && beat->seq != 0;
+}
+
+int
+bl_pass_heartbeat (struct bl_pass *pass,
+                   uint64_t now,
+                   const struct bl_heartbeat *beat)
+{
+  enum bl_state state = beat->draining ? BL_STATE_DRAINING : BL_STATE_READY;
+  bool first = pass->backend.len == 0;
+  bool same;
+
+  pass->now = now;
+  if (!bl_name_equal (&beat->service, &pass->self.service))
+    {
+      pass->counters[BL_PASS_BAD_HEARTBEATS]++;
+      pass->ops.decided (pass->ctx, "heartbeat_ignored", "other_service", NULL,
+                         0);
+      return BL_EFORMAT;
+    }
+  if (is_late (pass, beat))
+    {
+      pass->counters[BL_PASS_BAD_HEARTBEATS]++;
+      pass->ops.decided (pass->ctx, "heartbeat_ignored", "late", NULL, 0);
+      return BL_ESTALE;
+    }
+  same = is_same_backend (pass, beat);
+  if (!same && !first)
+    replace_backend (pass, beat);
+  if (first)
+    {
+      pass->backend = beat->id;
+      pass->born = beat->born;
+    }
+  pass->counters[BL_PASS_HEARTBEATS]++;
+  pass->beat_seq = beat->seq;
+  pass->beat_ms = now;
+  if (same && state == pass->self.state && beat->slots == pass->self.slots)
+    return BL_OK;
+  pass->self.slots = beat->slots;
+  pass->self.state = state;
+  announce (pass, same ? "heartbeat" : "heartbeat_of_new_start");
+  return BL_OK;
+}
+
+int
+bl_pass_leave (struct bl_pass *pass, uint64_t now, const struct bl_name *id)
+{
+  pass->now = now;
+  if (!bl_name_equal (&pass->backend, id))
+    return BL_ENOTFOUND;
+  pass->left = true;
+  set_state (pass, BL_STATE_LEFT, "backend_left");
+  return BL_OK;
+}
+
+void
+bl_pass_checked (struct bl_pass *pass, uint64_t now, bool alive)
+{
+  pass->now = now;
+  if (alive)
+    {
+      if (pass->self.state == BL_STATE_STARTING)
+        set_state (pass, BL_STATE_READY, "connection_accepted");
+      return;
+    }
+  if (pass->self.state != BL_STATE_READY
+      && pass->self.state != BL_STATE_DRAINING)
+    return;
+  forget_all (pass);
+  pass->unanswered_ms = 0;
+  set_state (pass, BL_STATE_DEAD, "connection_turned_down");
+}
+
+static void
+check_backend (struct bl_pass *p)
+{
+  bool starting = p->self.state == BL_STATE_STARTING;
+  bool silent = p->unanswered_ms != 0 && p->now - p->unanswered_ms > QUIET_MS;
+  bool missed
+      = p->beat_ms != 0
+        && p->now - p->beat_ms > MISSED_BEATS * p->settings.heartbeat_ms;
+
+  if (p->self.state >= BL_STATE_LEFT || p->left)
+    return;
+  if (starting && p->start_checks < START_CHECKS
+      && p->now - p->checked_ms >= START_CHECK_MS)
+    {
+      p->start_checks++;
+      p->checked_ms = p->now;
+      p->ops.check (p->ctx);
+    }
+  else if (!starting && (silent || missed)
+           && p->now - p->checked_ms >= CHECK_MS)
+    {
+      p->checked_ms = p->now;
+      p->ops.check (p->ctx);
+    }
+}
+
+/* -- time -- */
+
+static void
+sweep (struct bl_pass *p)
+{
+  struct held *f;
+  struct held *next;
+
+  HASH_ITER (hh, p->flows, f, next)
+  {
+    uint64_t idle = p->now - f->touched_ms;
+    if (idle > (f->closed ? CLOSED_MS : IDLE_MS))
+      forget (p, f);
+    else if (f->busy_ms != 0 && p->now - f->busy_ms > BUSY_MAX_MS)
+      set_busy (p, f, false);
+  }
+  for (size_t i = 0; i < p->watcher_count; i++)
+    if (p->now - p->watchers[i].heard_ms > WATCHER_MS)
+      p->watchers[i--] = p->watchers[--p->watcher_count];
+}
+
+/* No balancer has asked for a while: the seeds may know others.  */
+static void
+tell_seeds (struct bl_pass *p)
+{
+  for (size_t i = 0; i < p->watcher_count; i++)
+    if (p->now - p->watchers[i].heard_ms < LONELY_MS)
+      return;
+  for (size_t i = 0; i < p->settings.seed_count; i++)
+    send_status (p, p->settings.seeds[i], true);
+  for (size_t i = 0; i < p->watcher_count; i++)
+    send_status (p, p->watchers[i].addr, true);
+}
+
+void
+bl_pass_tick (struct bl_pass *pass, uint64_t now)
+{
+  pass->now = now;
+  if (pass->started_ms == 0)
+    {
+      pass->started_ms = now;
+      announce (pass, "started");
+    }
+  check_backend (pass);
+  if (now >= pass->next_sweep_ms)
+    {
+      pass->next_sweep_ms = now + SWEEP_MS;
+      sweep (pass);
+    }
+  if (now >= pass->next_seed_ms)
+    {
+      pass->next_seed_ms = now + LONELY_MS / 3;
+      tell_seeds (pass);
+    }
+}
+
+int
+bl_pass_message (struct bl_pass *pass,
+                 uint64_t now,
+                 struct bl_addr from,
+                 const uint8_t *buf,
+                 size_t len)
+{
+  struct bl_msg msg;
+  int err = bl_msg_decode (&msg, buf, len);
+
+  pass->now = now;
+  if (err == BL_OK && msg.type != BL_MSG_HELLO)
+    {
+      bl_msg_clear (&msg);
+      err = BL_EFORMAT;
+    }
+  if (err != BL_OK)
+    {
+      pass->counters[BL_PASS_BAD]++;
+      return err;
+    }
+  note_watcher (pass, from);
+  send_status (pass, from,
+               msg.seq != pass->self.seq
+                   || msg.incarnation != pass->self.incarnation);
+  bl_msg_clear (&msg);
+  return BL_OK;
+}
+
+void
+bl_pass_stop (struct bl_pass *pass, uint64_t now)
+{
+  pass->now = now;
+  if (pass->self.state < BL_STATE_LEFT)
+    set_state (pass, BL_STATE_STARTING, "stopping");
+}
+
+const struct bl_record *
+bl_pass_record (const struct bl_pass *pass)
+{
+  return &pass->self;
+}
+
+bool
+bl_pass_is_empty (const struct bl_pass *pass)
+{
+  return pass->left || pass->self.state >= BL_STATE_LEFT;
+}
+
+size_t
+bl_pass_flow_count (const struct bl_pass *pass)
+{
+  return HASH_COUNT (pass->flows);
+}
+
+uint32_t
+bl_pass_busy (const struct bl_pass *pass)
+{
+  return pass->busy;
+}
+
+uint64_t
+bl_pass_counter (const struct bl_pass *pass, enum bl_pass_counter counter)
+{
+  return pass->counters[counter];
+}
+
+const char *
+bl_pass_counter_name (enum bl_pass_counter counter)
+{
+  return counter_names[counter];
+}
--- /dev/null
+++ b/core/table.c
@@ -0,0 +1,80 @@
+/* table.c -- which service takes the flows of an address and port
+
+   Routes are kept sorted and found by bisection: a configuration is read
+   seldom and looked up for every packet.  */
+
+#include "core/table.h"
+
+#include <stdlib.h>
+
+struct bl_table *
+bl_table_new (size_t cap)
+{
+  struct bl_table *table = calloc (1, sizeof *table);
+
+  if (table == NULL)
+    return NULL;
+  table->routes = calloc (cap + 1, sizeof *table->routes);
+  if (table->routes == NULL)
+    {
+      free (table);
+      return NULL;
+    }
+  return table;
+}
+
+void
+bl_table_free (struct bl_table *table)
+{
+  if (table == NULL)
+    return;
+  free (table->routes);
+  free (table);
+}
+
+static int
+compare (const void *a, const void *b)
+{
+  const struct bl_table_route *x = a;
+  const struct bl_table_route *y = b;
+
+  if (x->ip != y->ip)
+    return x->ip < y->ip ? -1 : 1;
+  return (int)x->port - (int)y->port;
+}
+
+void
+bl_table_sort (struct bl_table *table)
+{
+  qsort (table->routes, table->count, sizeof *table->routes, compare);
+}
+
+const struct bl_table_route *
+bl_table_find (const struct bl_table *table, uint32_t ip, uint16_t port)
+{
+  struct bl_table_route want = { .ip = ip, .port = port };
+
+  if (table == NULL)
+    return NULL;
+  return bsearch (&want, table->routes, table->count, sizeof want, compare);
+}
+
+const struct bl_split *
+bl_table_split (const struct bl_table_route *route, uint64_t flow_hash)
+{
+  uint64_t total = 0;
+  uint64_t at;
+
+  for (size_t i = 0; i < route->split_count; i++)
+    total += route->splits[i].weight;
+  if (total == 0)
+    return route->split_count > 0 ? &route->splits[0] : NULL;
+  at = flow_hash % total;
+  for (size_t i = 0; i < route->split_count; i++)
+    {
+      if (at < route->splits[i].weight)
+        return &route->splits[i];
+      at -= route->splits[i].weight;
+    }
+  return &route->splits[0];
+}
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -15,11 +15,25 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define ADDED_MAX 4
+#define BODY_MAX  65536 /* bytes of a request */
+
+struct admin;
+
+/* A path that a role added.  */
+struct added
+{
+  struct admin *admin;
+  int (*handle) (void *ctx, const struct admin_request *r);
+};
+
 struct admin
 {
   struct mg_context *http;
   struct admin_ops ops;
   void *ctx;
+  size_t added_count;
+  struct added added[ADDED_MAX];
 };
 
 void
@@ -146,6 +160,64 @@
   return respond_text (conn, 202, "draining\n");
 }
 
+/* Returns the length of the body, or -1 when it is too long.  */
+static long
+read_body (struct mg_connection *conn, char *buf)
+{
+  long len = 0;
+  int n;
+
+  while ((n = mg_read (conn, buf + len, (size_t)(BODY_MAX - len))) > 0)
+    {
+      len += n;
+      if (len == BODY_MAX)
+        return -1;
+    }
+  return len;
+}
+
+static int
+on_added (struct mg_connection *conn, void *ctx)
+{
+  struct added *added = ctx;
+  struct admin *a = added->admin;
+  const struct mg_request_info *info = mg_get_request_info (conn);
+  struct text answer = { .len = 0 };
+  struct admin_request request = {
+    .method = bl_str_of (info->request_method),
+    .path = bl_str_of (info->local_uri),
+    .answer = &answer,
+  };
+  char *body = malloc (BODY_MAX);
+  long len = body != NULL ? read_body (conn, body) : -1;
+  int status = 413;
+
+  if (len >= 0)
+    {
+      request.body = (struct bl_str){ body, (size_t)len };
+      a->ops.lock (a->ctx);
+      status = added->handle (a->ctx, &request);
+      a->ops.unlock (a->ctx);
+    }
+  respond (conn, status, "application/json",
+           answer.ptr != NULL ? answer.ptr : "{}",
+           answer.ptr != NULL ? answer.len : 2);
+  free (answer.ptr);
+  free (body);
+  return status;
+}
+
+void
+admin_handle (struct admin *admin,
+              const char *pattern,
+              int (*handle) (void *ctx, const struct admin_request *r))
+{
+  struct added *added = &admin->added[admin->added_count++];
+
+  *added = (struct added){ .admin = admin, .handle = handle };
+  mg_set_request_handler (admin->http, pattern, on_added, added);
+}
+
 struct admin *
 admin_start (uint32_t ip,
              unsigned long port,
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -9,9 +9,14 @@
 /* Each runs its role until it is stopped; returns the exit status.  */
 int balancer_run (const struct settings *settings);
 int agent_run (const struct settings *settings);
+/* The same roles where backend servers end flows themselves.  */
+int dispatcher_run (const struct settings *settings);
+int passthrough_run (const struct settings *settings);
 
 /* True once SIGTERM or SIGINT has come.  */
 bool daemon_stopping (void);
+/* True once after each SIGHUP.  */
+bool daemon_reloading (void);
 
 /* Opens a UDP socket on IP and PORT and adds it to LOOP as SOURCE; a failure is
    logged.  0, or -1.  */
@@ -53,6 +58,20 @@
                            const struct admin_ops *ops,
                            void *ctx);
 void admin_stop (struct admin *admin);
+
+/* A request to a path that a role adds, and its answer.  */
+struct admin_request
+{
+  struct bl_str method;
+  struct bl_str path;
+  struct bl_str body;
+  struct text *answer; /* JSON */
+};
+/* Calls HANDLE, with the lock held, for requests whose path matches PATTERN;
+   it returns the status.  */
+void admin_handle (struct admin *admin,
+                   const char *pattern,
+                   int (*handle) (void *ctx, const struct admin_request *r));
 /* Adds one counter or gauge in the Prometheus text format; LABELS may be
    "".  */
 void metric_add (struct text *out,
@@ -85,6 +104,64 @@
 void relay_stop (struct relay *relay);
 uint64_t relay_calls (const struct relay *relay);
 
+/* -- the platform's store -- */
+
+/* Keeps the own record in the store, from a thread of its own.  */
+struct registry;
+
+struct registry *registry_start (struct bl_addr store, uint64_t random_seed);
+/* Takes a copy, which replaces one that was not written yet.  */
+void registry_publish (struct registry *registry,
+                       const struct bl_record *record);
+/* Ends the thread; WITHDRAW removes the record first, if the store answers
+   soon.  */
+void registry_stop (struct registry *registry, bool withdraw);
+uint64_t registry_calls (const struct registry *registry);
+
+/* Reads a record as it lies in the store.  BL_EFORMAT.  */
+int registry_parse (struct bl_record *record, const char *text);
+#define REGISTRY_KIND "boragelatch-instances"
+
+/* Follows all objects of one kind, from a thread of its own.  */
+struct follower;
+
+struct follower_settings
+{
+  struct bl_addr store;
+  const char *kind;
+  unsigned wait_ms;  /* of one watch */
+  unsigned pause_ms; /* after a change, so that others join it in one call */
+  bool stale;        /* may be seconds old, for less */
+  uint64_t random_seed;
+};
+
+/* VISIT is called from the follower's thread; TEXT is NULL when the object was
+   removed.  */
+struct follower *follower_start (const struct follower_settings *settings,
+                                 void (*visit) (void *ctx,
+                                                struct bl_str name,
+                                                uint64_t revision,
+                                                const char *text),
+                                 void *ctx);
+void follower_stop (struct follower *follower);
+uint64_t follower_calls (const struct follower *follower);
+
+/* -- log of decisions -- */
+
+/* Lets so many lines of each kind through a second, and counts the rest.  */
+struct decision_log;
+
+struct decision_log *decision_log_new (unsigned lines_s);
+void decision_log_free (struct decision_log *log);
+/* False: the line is left out.  *SUPPRESSED were, before this one.  */
+bool decision_log_pass (struct decision_log *log,
+                        uint64_t now,
+                        const char *what,
+                        uint64_t *suppressed);
+#define FLOW_TEXT_MAX 64
+/* "1.2.3.4:5-6.7.8.9:10", or "-" for NULL.  */
+const char *flow_format (const struct bl_flow_key *flow, char *buf);
+
 /* -- proxy -- */
 
 /* Joins callers' connections, ended by lwIP, to the backend server.  */
--- /dev/null
+++ b/daemon/dispatcher.c
@@ -0,0 +1,612 @@
+/* dispatcher.c -- the balancer role where backend servers end flows
+
+   Sockets and threads round a dispatcher.  One thread follows the routes in
+   the platform's store, one the instances, one keeps the own record there.
+   Routes also come from other balancers, as the text that was read from the
+   store.  One lock is held except while waiting.  */
+
+#include "core/dispatch.h"
+#include "core/msg.h"
+#include "daemon/daemon.h"
+#include "platform/platform.h"
+
+#include <jansson.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+#define TICK_MS          20
+#define DATAGRAM_CAP     65536
+#define READS_PER_EVENT  16   /* batches before other sources get their turn */
+#define ROUTES_WAIT_MS   5000 /* of one watch; a silent connection costs this */
+#define MEMBERS_WAIT_MS  25000 /* of one watch */
+#define MEMBERS_PAUSE_MS 300   /* changes join in one call meanwhile */
+#define PULL_MS          300   /* between two pulls of routes */
+#define STOP_MIN_MS      1300  /* the routers have noticed by then */
+#define STOP_QUIET_MS    500   /* without packets: they have let go */
+#define STOP_MAX_MS      4000
+
+struct dispatcher;
+
+struct dispatcher_socket
+{
+  struct io_source source;
+  struct dispatcher *dispatcher;
+};
+
+struct dispatcher
+{
+  const struct settings *settings;
+  struct io_loop *loop;
+  struct bl_dispatch *core;
+  struct bl_record self;
+  struct io_bulk *bulk;
+  struct admin *admin;
+  struct io_batch *batch;
+  struct registry *registry;
+  struct follower *routes;
+  struct follower *members;
+  struct decision_log *log;
+  struct dispatcher_socket packets;
+  struct dispatcher_socket links;
+  struct dispatcher_socket control;
+  pthread_mutex_t mutex;
+  char *routes_text; /* owned; of the table in force */
+  uint64_t pulled_ms;
+  uint64_t packet_ms;   /* of the last packet of a caller */
+  uint64_t stopping_ms; /* since when; 0: not */
+  uint64_t malformed;
+  struct bl_buffer buffer;
+  uint8_t datagram[DATAGRAM_CAP];
+};
+
+static void
+lock (void *ctx)
+{
+  struct dispatcher *d = ctx;
+  pthread_mutex_lock (&d->mutex);
+}
+
+static void
+unlock (void *ctx)
+{
+  struct dispatcher *d = ctx;
+  pthread_mutex_unlock (&d->mutex);
+}
+
+/* -- packets -- */
+
+static void
+on_packets (struct io_source *source, uint32_t events)
+{
+  struct dispatcher *d = ((struct dispatcher_socket *)source)->dispatcher;
+  struct platform_packet p;
+
+  (void)events;
+  for (int reads = 0; reads < READS_PER_EVENT; reads++)
+    {
+      int n = io_batch_receive (d->batch, source->fd);
+      uint64_t now = io_now_ms ();
+      if (n == 0)
+        return;
+      d->packet_ms = now;
+      for (int i = 0; i < n; i++)
+        {
+          size_t len;
+          const uint8_t *bytes = io_batch_data (d->batch, i, &len);
+          if (platform_packet_parse (&p, bytes, len, false) != BL_OK)
+            d->malformed++;
+          else
+            bl_dispatch_packet (d->core, now, &p.packet, bytes, len);
+        }
+      if (n < IO_BATCH)
+        return;
+    }
+}
+
+static void
+on_links (struct io_source *source, uint32_t events)
+{
+  struct dispatcher *d = ((struct dispatcher_socket *)source)->dispatcher;
+  struct platform_packet p;
+  struct bl_link link;
+  struct bl_addr from;
+  int n;
+
+  (void)events;
+  while ((n = io_udp_receive (source->fd, &from, d->datagram, DATAGRAM_CAP))
+         >= 0)
+    {
+      int head = bl_link_decode (&link, d->datagram, (size_t)n);
+      const uint8_t *bytes = d->datagram + head;
+      size_t len = (size_t)(n - head);
+      bool has_packet;
+      if (head < 0)
+        {
+          d->malformed++;
+          continue;
+        }
+      has_packet = platform_packet_parse (&p, bytes, len, false) == BL_OK;
+      bl_dispatch_link (d->core, io_now_ms (), from, &link,
+                        has_packet ? &p.packet : NULL, bytes, len);
+    }
+}
+
+static void
+on_control (struct io_source *source, uint32_t events)
+{
+  struct dispatcher *d = ((struct dispatcher_socket *)source)->dispatcher;
+  struct bl_addr from;
+  int n;
+
+  (void)events;
+  while ((n = io_udp_receive (source->fd, &from, d->datagram, DATAGRAM_CAP))
+         >= 0)
+    bl_dispatch_message (d->core, io_now_ms (), from, d->datagram, (size_t)n);
+}
+
+/* -- what the core asks for -- */
+
+static void
+core_to_agent (void *ctx,
+               struct bl_addr to,
+               const struct bl_link *link,
+               const uint8_t *packet,
+               size_t len)
+{
+  struct dispatcher *d = ctx;
+  uint8_t head[BL_LINK_MAX];
+  size_t head_len = bl_link_encode (link, head);
+
+  io_udp_send_parts (d->links.source.fd, to, head, head_len, packet, len);
+}
+
+static void
+core_reset (void *ctx, const struct bl_flow_key *key, uint32_t seq)
+{
+  struct dispatcher *d = ctx;
+  struct bl_addr caller = { key->src_ip, d->settings->packets.port };
+  uint8_t packet[PLATFORM_HEAD];
+
+  platform_packet_reset (packet, key, seq);
+  io_udp_send (d->links.source.fd, caller, packet, sizeof packet);
+}
+
+static void
+core_send (void *ctx, struct bl_addr to, const uint8_t *buf, size_t len)
+{
+  struct dispatcher *d = ctx;
+  io_udp_send (d->control.source.fd, to, buf, len);
+}
+
+static void
+core_pull (void *ctx, const struct bl_target *peer)
+{
+  struct dispatcher *d = ctx;
+  struct bl_addr to = { peer->record.ip, peer->record.bulk_port };
+  const struct bl_table *table = bl_dispatch_table (d->core);
+  struct bl_msg msg = {
+    .type = BL_MSG_PULL_CONFIG,
+    .from = d->settings->id,
+    .config_version = table != NULL ? table->version : 0,
+  };
+  uint64_t now = io_now_ms ();
+
+  if (now - d->pulled_ms < PULL_MS || to.port == 0)
+    return;
+  d->pulled_ms = now;
+  if (bl_msg_encode (&msg, &d->buffer) == BL_OK)
+    io_bulk_pull (d->bulk, to, d->buffer.ptr, d->buffer.len);
+}
+
+static void
+core_decided (void *ctx, const struct bl_decision *decision)
+{
+  struct dispatcher *d = ctx;
+  char flow[FLOW_TEXT_MAX];
+  uint64_t suppressed;
+
+  if (!decision_log_pass (d->log, io_now_ms (), decision->what, &suppressed))
+    return;
+  io_log (IO_INFO, decision->what,
+          "flow=%s why=%s target=%s age_ms=%lu version=%lu suppressed=%lu",
+          flow_format (decision->flow, flow), decision->why,
+          decision->target != NULL ? decision->target->id.s : "-",
+          decision->age_ms, decision->version, suppressed);
+}
+
+/* -- routes -- */
+
+static void
+take_routes (struct dispatcher *d, struct bl_str text, const char *source)
+{
+  static struct bl_findings findings;
+  struct bl_table *table;
+  uint64_t version;
+  char *copy;
+
+  findings.count = 0;
+  if (platform_table_parse (&table, text, &findings) != BL_OK)
+    {
+      io_log (IO_WARN, "routes_unreadable", "source=%s place=\"%s\" why=\"%s\"",
+              source, findings.items[0].place, findings.items[0].text);
+      return;
+    }
+  for (size_t i = 0; i < findings.count && i < BL_FINDINGS_MAX; i++)
+    io_log (IO_WARN, "route_left_out", "source=%s place=\"%s\" why=\"%s\"",
+            source, findings.items[i].place, findings.items[i].text);
+  version = table->version;
+  if (bl_dispatch_configure (d->core, io_now_ms (), table) != BL_OK)
+    return;
+  io_log (IO_INFO, "routes_in_force", "version=%lu source=%s", version, source);
+  copy = malloc (text.len + 1);
+  if (copy == NULL)
+    return;
+  memcpy (copy, text.ptr, text.len);
+  copy[text.len] = '\0';
+  free (d->routes_text);
+  d->routes_text = copy;
+}
+
+static void
+on_routes_object (void *ctx,
+                  struct bl_str name,
+                  uint64_t revision,
+                  const char *text)
+{
+  struct dispatcher *d = ctx;
+
+  (void)revision;
+  if (text == NULL || name.len != strlen (PLATFORM_CONFIG_NAME)
+      || memcmp (name.ptr, PLATFORM_CONFIG_NAME, name.len) != 0)
+    return;
+  lock (d);
+  take_routes (d, bl_str_of (text), "store");
+  unlock (d);
+}
+
+static const uint8_t *
+bulk_request (void *ctx, const uint8_t *buf, size_t len, size_t *reply_len)
+{
+  struct dispatcher *d = ctx;
+  struct bl_str text;
+  struct bl_msg reply = { .type = BL_MSG_CONFIG, .from = d->settings->id };
+  struct bl_msg msg;
+
+  if (bl_msg_decode (&msg, buf, len) != BL_OK)
+    return NULL;
+  bl_msg_clear (&msg);
+  if (d->routes_text == NULL)
+    return NULL;
+  text = bl_str_of (d->routes_text);
+  reply.services = &text;
+  reply.service_count = 1;
+  if (bl_msg_encode (&reply, &d->buffer) != BL_OK)
+    return NULL;
+  *reply_len = d->buffer.len;
+  return d->buffer.ptr;
+}
+
+static void
+bulk_reply (void *ctx, const uint8_t *buf, size_t len)
+{
+  struct dispatcher *d = ctx;
+  struct bl_msg msg;
+
+  if (bl_msg_decode (&msg, buf, len) != BL_OK)
+    {
+      d->malformed++;
+      return;
+    }
+  if (msg.type == BL_MSG_CONFIG && msg.service_count == 1)
+    take_routes (d, msg.services[0], msg.from.s);
+  bl_msg_clear (&msg);
+}
+
+/* -- instances -- */
+
+static void
+on_member_object (void *ctx,
+                  struct bl_str name,
+                  uint64_t revision,
+                  const char *text)
+{
+  struct dispatcher *d = ctx;
+  struct bl_record record;
+
+  /* An instance that is gone is noticed by its silence.  */
+  if (text == NULL)
+    return;
+  if (registry_parse (&record, text) != BL_OK)
+    {
+      io_log (IO_WARN, "instance_unreadable", "object=%.*s revision=%lu",
+              (int)name.len, name.ptr, revision);
+      return;
+    }
+  lock (d);
+  bl_dispatch_learn (d->core, io_now_ms (), &record);
+  unlock (d);
+}
+
+/* -- admin -- */
+
+static bool
+admin_ready (void *ctx)
+{
+  struct dispatcher *d = ctx;
+  return bl_dispatch_ready (d->core) && d->stopping_ms == 0;
+}
+
+static int
+on_readiness (void *ctx, const struct admin_request *request)
+{
+  (void)request;
+  return admin_ready (ctx) ? 200 : 503;
+}
+
+static void
+admin_metrics (void *ctx, struct text *out)
+{
+  struct dispatcher *d = ctx;
+  const struct bl_table *table = bl_dispatch_table (d->core);
+  const struct bl_fleet *fleet = bl_dispatch_fleet (d->core);
+
+  for (int i = 0; i < BL_DISPATCH_COUNTERS; i++)
+    {
+      char name[64];
+      snprintf (name, sizeof name, "dispatch_%s_total",
+                bl_dispatch_counter_name (i));
+      metric_add (out, "counter", name, "", bl_dispatch_counter (d->core, i));
+    }
+  metric_add (out, "counter", "dispatch_malformed_total", "", d->malformed);
+  metric_add (out, "gauge", "dispatch_flows", "",
+              bl_dispatch_flow_count (d->core));
+  metric_add (out, "gauge", "dispatch_routes_version", "",
+              table != NULL ? table->version : 0);
+  metric_add (out, "gauge", "dispatch_backends", "", fleet->backend_count);
+  metric_add (out, "gauge", "dispatch_backends_silent", "", fleet->dark_count);
+  metric_add (out, "counter", "dispatch_store_calls_total", "",
+              registry_calls (d->registry) + follower_calls (d->routes)
+                  + follower_calls (d->members));
+}
+
+static json_t *
+admin_status (void *ctx)
+{
+  struct dispatcher *d = ctx;
+  const struct bl_table *table = bl_dispatch_table (d->core);
+  const struct bl_fleet *fleet = bl_dispatch_fleet (d->core);
+  json_t *list = json_array ();
+  struct bl_target *t;
+  struct bl_target *next;
+
+  HASH_ITER (hh, fleet->targets, t, next)
+  json_array_append_new (
+      list,
+      json_pack ("{s:s, s:s, s:s, s:s, s:I, s:I, s:b}", "id", t->id.s, "dc",
+                 t->record.dc.s, "service", t->record.service.s, "state",
+                 bl_state_name (t->record.state), "busy", (json_int_t)t->busy,
+                 "flows", (json_int_t)t->flows, "suspect", (int)t->suspect));
+  return json_pack ("{s:s, s:s, s:s, s:I, s:b, s:o}", "role", "balancer", "id",
+                    d->settings->id.s, "dc", d->settings->dc.s, "version",
+                    (json_int_t)(table != NULL ? table->version : 0), "ready",
+                    (int)admin_ready (d), "instances", list);
+}
+
+static void
+start_stop (struct dispatcher *d)
+{
+  if (d->stopping_ms != 0)
+    return;
+  d->stopping_ms = io_now_ms ();
+  io_log (IO_INFO, "stop_started", "id=%s flows=%zu", d->settings->id.s,
+          bl_dispatch_flow_count (d->core));
+}
+
+static void
+admin_drain (void *ctx)
+{
+  start_stop (ctx);
+}
+
+static const struct admin_ops admin_ops = {
+  .ready = admin_ready,
+  .metrics = admin_metrics,
+  .status = admin_status,
+  .drain = admin_drain,
+  .lock = lock,
+  .unlock = unlock,
+};
+
+/* -- life -- */
+
+/* A stopping balancer goes on until the routers have let go of it.  */
+static void
+watch_stop (struct dispatcher *d)
+{
+  uint64_t now = io_now_ms ();
+  uint64_t waited = now - d->stopping_ms;
+
+  if (d->stopping_ms == 0 || waited < STOP_MIN_MS)
+    return;
+  if (now - d->packet_ms > STOP_QUIET_MS || waited > STOP_MAX_MS)
+    io_loop_stop (d->loop);
+}
+
+static void
+on_tick (void *ctx)
+{
+  struct dispatcher *d = ctx;
+
+  bl_dispatch_tick (d->core, io_now_ms ());
+  io_bulk_poll (d->bulk);
+  if (daemon_reloading ())
+    io_log (IO_INFO, "reloaded", "id=%s changed=nothing", d->settings->id.s);
+  if (daemon_stopping ())
+    start_stop (d);
+  watch_stop (d);
+}
+
+static int
+open_core (struct dispatcher *d)
+{
+  const struct settings *s = d->settings;
+  static const struct bl_dispatch_ops ops = {
+    .to_agent = core_to_agent,
+    .reset = core_reset,
+    .send = core_send,
+    .pull = core_pull,
+    .decided = core_decided,
+  };
+  struct bl_dispatch_settings settings = {
+    .random_seed = s->random_seed,
+    .seed_count = s->seed_count,
+  };
+
+  d->self = (struct bl_record){
+    .kind = BL_KIND_MEMBER,
+    .state = BL_STATE_READY,
+    .id = s->id,
+    .dc = s->dc,
+    .ip = s->ip,
+    .data_port = (uint16_t)s->link_port,
+    .control_port = (uint16_t)s->control_port,
+    .bulk_port = (uint16_t)s->bulk_port,
+    .admin_port = s->http.port,
+    .incarnation = io_wall_ms (),
+    .seq = 1,
+  };
+  settings.self = d->self;
+  memcpy (settings.seeds, s->seeds, sizeof settings.seeds);
+  /* Seeds name another port of the same instances.  */
+  for (size_t i = 0; i < s->seed_count; i++)
+    settings.seeds[i].port = (uint16_t)s->control_port;
+  d->core = bl_dispatch_new (&settings, &ops, d);
+  return d->core != NULL ? 0 : -1;
+}
+
+static int
+open_sockets (struct dispatcher *d)
+{
+  const struct settings *s = d->settings;
+  struct bl_addr bulk = { s->ip, (uint16_t)s->bulk_port };
+  static const struct io_bulk_ops bulk_ops
+      = { .request = bulk_request, .reply = bulk_reply };
+
+  d->packets.dispatcher = d;
+  d->links.dispatcher = d;
+  d->control.dispatcher = d;
+  if (daemon_open_udp (d->loop, &d->packets.source, s->packets.ip,
+                       s->packets.port, on_packets)
+          != 0
+      || daemon_open_udp (d->loop, &d->links.source, s->ip, s->link_port,
+                          on_links)
+             != 0
+      || daemon_open_udp (d->loop, &d->control.source, s->ip, s->control_port,
+                          on_control)
+             != 0)
+    return -1;
+  d->bulk = io_bulk_new (d->loop, bulk, &bulk_ops, d);
+  d->admin = admin_start (s->http.ip, s->http.port, &admin_ops, d);
+  if (d->bulk != NULL && d->admin != NULL)
+    {
+      admin_handle (d->admin, PLATFORM_READY_PATH "$", on_readiness);
+      return 0;
+    }
+  io_log (IO_ERROR, "cannot_bind", "bulk_port=%lu http_port=%u", s->bulk_port,
+          s->http.port);
+  return -1;
+}
+
+static int
+open_threads (struct dispatcher *d)
+{
+  const struct settings *s = d->settings;
+  struct follower_settings routes = {
+    .store = s->store,
+    .kind = PLATFORM_CONFIG_KIND,
+    .wait_ms = ROUTES_WAIT_MS,
+    .random_seed = s->random_seed,
+  };
+  struct follower_settings members = {
+    .store = s->store,
+    .kind = REGISTRY_KIND,
+    .wait_ms = MEMBERS_WAIT_MS,
+    .pause_ms = MEMBERS_PAUSE_MS,
+    .stale = true,
+    .random_seed = s->random_seed + 1,
+  };
+
+  d->registry = registry_start (s->store, s->random_seed + 2);
+  d->routes = follower_start (&routes, on_routes_object, d);
+  d->members = follower_start (&members, on_member_object, d);
+  if (d->registry == NULL || d->routes == NULL || d->members == NULL)
+    return -1;
+  registry_publish (d->registry, &d->self);
+  return 0;
+}
+
+static void
+close_all (struct dispatcher *d)
+{
+  follower_stop (d->routes);
+  follower_stop (d->members);
+  registry_stop (d->registry, false);
+  admin_stop (d->admin);
+  io_bulk_free (d->bulk);
+  for (size_t i = 0; i < 3; i++)
+    {
+      const struct dispatcher_socket *all[]
+          = { &d->packets, &d->links, &d->control };
+      if (all[i]->source.fd > 0)
+        close (all[i]->source.fd);
+    }
+  bl_dispatch_free (d->core);
+  bl_buffer_free (&d->buffer);
+  decision_log_free (d->log);
+  io_batch_free (d->batch);
+  io_loop_free (d->loop);
+  free (d->routes_text);
+  free (d);
+}
+
+static int
+open_all (struct dispatcher *d)
+{
+  d->loop = io_loop_new ();
+  d->batch = io_batch_new ();
+  d->log = decision_log_new ((unsigned)d->settings->log_lines_s);
+  if (d->loop == NULL || d->batch == NULL || d->log == NULL)
+    return -1;
+  if (open_core (d) != 0 || open_sockets (d) != 0)
+    return -1;
+  return open_threads (d);
+}
+
+int
+dispatcher_run (const struct settings *settings)
+{
+  struct dispatcher *d = calloc (1, sizeof *d);
+  int status = 1;
+
+  if (d == NULL)
+    return 1;
+  d->settings = settings;
+  pthread_mutex_init (&d->mutex, NULL);
+  if (open_all (d) == 0)
+    {
+      io_loop_set_lock (d->loop, lock, unlock, d);
+      io_loop_set_tick (d->loop, TICK_MS, on_tick, d);
+      io_log (IO_INFO, "started",
+              "role=balancer transport=datagram id=%s dc=%s", settings->id.s,
+              settings->dc.s);
+      io_loop_run (d->loop);
+      io_log (IO_INFO, "stopped", "role=balancer id=%s", settings->id.s);
+      status = 0;
+    }
+  close_all (d);
+  return status;
+}
--- /dev/null
+++ b/daemon/follower.c
@@ -0,0 +1,156 @@
+/* follower.c -- follows all objects of one kind in the platform's store
+
+   Lists them once, then waits for changes.  When the history was discarded, it
+   lists again; when the store does not answer, it waits a little longer each
+   time and goes on from where it was.  */
+
+#include "daemon/daemon.h"
+#include "platform/platform.h"
+
+#include <pthread.h>
+#include <stdlib.h>
+#include <unistd.h>
+
+#define BACKOFF_MIN_MS 150
+#define BACKOFF_MAX_MS 1200
+#define NAP_MS         50 /* between looks at whether to stop */
+
+struct follower
+{
+  pthread_t thread;
+  struct follower_settings settings;
+  struct platform_store *store;
+  struct platform_visitor visitor;
+  struct bl_random random;
+  volatile bool stopped;
+  bool reachable;
+  bool changed; /* during the call under way */
+  void (*visit) (void *ctx,
+                 struct bl_str name,
+                 uint64_t revision,
+                 const char *text);
+  void *ctx;
+};
+
+static void
+nap (struct follower *f, unsigned ms)
+{
+  while (ms > 0 && !f->stopped)
+    {
+      unsigned step = ms < NAP_MS ? ms : NAP_MS;
+      usleep (step * 1000);
+      ms -= step;
+    }
+}
+
+static void
+on_object (void *ctx, struct bl_str name, uint64_t revision, const char *text)
+{
+  struct follower *f = ctx;
+
+  f->changed = true;
+  f->visit (f->ctx, name, revision, text);
+}
+
+static void
+note_result (struct follower *f, enum platform_result result)
+{
+  bool reachable = result == PLATFORM_OK || result == PLATFORM_GONE;
+
+  if (reachable != f->reachable && !f->stopped)
+    io_log (reachable ? IO_INFO : IO_WARN,
+            reachable ? "store_regained" : "store_lost",
+            "by=follower kind=%s result=\"%s\"", f->settings.kind,
+            platform_result_name (result));
+  f->reachable = reachable;
+}
+
+static unsigned
+backoff_ms (struct follower *f, unsigned attempt)
+{
+  unsigned ms = BACKOFF_MIN_MS;
+
+  while (attempt-- > 1 && ms < BACKOFF_MAX_MS)
+    ms *= 2;
+  return ms / 2 + bl_random_below (&f->random, ms / 2 + 1);
+}
+
+static void *
+run (void *ctx)
+{
+  struct follower *f = ctx;
+  uint64_t revision = 0;
+  bool listed = false;
+  unsigned attempt = 0;
+
+  while (!f->stopped)
+    {
+      enum platform_result result;
+      f->changed = false;
+      if (!listed)
+        result = platform_store_list (f->store, f->settings.kind, &f->visitor,
+                                      &revision);
+      else
+        result = platform_store_watch (f->store, f->settings.kind,
+                                       f->settings.wait_ms, f->settings.stale,
+                                       &f->visitor, &revision);
+      note_result (f, result);
+      if (result == PLATFORM_OK)
+        {
+          listed = true;
+          attempt = 0;
+          nap (f, f->changed ? f->settings.pause_ms : 0);
+        }
+      else if (result == PLATFORM_GONE)
+        listed = false;
+      else
+        nap (f, backoff_ms (f, ++attempt));
+    }
+  return NULL;
+}
+
+struct follower *
+follower_start (const struct follower_settings *settings,
+                void (*visit) (void *ctx,
+                               struct bl_str name,
+                               uint64_t revision,
+                               const char *text),
+                void *ctx)
+{
+  struct follower *f = calloc (1, sizeof *f);
+
+  if (f == NULL)
+    return NULL;
+  f->settings = *settings;
+  f->random.state = settings->random_seed;
+  f->visitor = (struct platform_visitor){ .visit = on_object, .ctx = f };
+  f->visit = visit;
+  f->ctx = ctx;
+  f->reachable = true;
+  f->store = platform_store_new (settings->store);
+  if (f->store == NULL || pthread_create (&f->thread, NULL, run, f) != 0)
+    {
+      platform_store_free (f->store);
+      free (f);
+      return NULL;
+    }
+  return f;
+}
+
+void
+follower_stop (struct follower *follower)
+{
+  if (follower == NULL)
+    return;
+  follower->stopped = true;
+  platform_store_cancel (follower->store);
+  pthread_join (follower->thread, NULL);
+  platform_store_free (follower->store);
+  free (follower);
+}
+
+uint64_t
+follower_calls (const struct follower *follower)
+{
+  return follower != NULL ? platform_store_calls (follower->store) : 0;
+}
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -10,12 +10,15 @@
 #define EXIT_BAD_SETTINGS 2
 
 static volatile sig_atomic_t stopping;
+static volatile sig_atomic_t reloading;
 
 static void
 on_signal (int sig)
 {
-  (void)sig;
-  stopping = 1;
+  if (sig == SIGHUP)
+    reloading = 1;
+  else
+    stopping = 1;
 }
 
 bool
@@ -24,6 +27,15 @@
   return stopping != 0;
 }
 
+bool
+daemon_reloading (void)
+{
+  bool now = reloading != 0;
+
+  reloading = 0;
+  return now;
+}
+
 int
 daemon_open_udp (struct io_loop *loop,
                  struct io_source *source,
@@ -61,20 +73,34 @@
 
   sigaction (SIGTERM, &action, NULL);
   sigaction (SIGINT, &action, NULL);
+  sigaction (SIGHUP, &action, NULL);
   signal (SIGPIPE, SIG_IGN);
 }
 
+/* The ways to run a role, by its settings.  */
+static const struct
+{
+  enum role role;
+  int (*run) (const struct settings *settings);
+} runs[] = {
+  { ROLE_BALANCER, balancer_run },
+  { ROLE_AGENT, agent_run },
+  { ROLE_DISPATCHER, dispatcher_run },
+  { ROLE_PASSTHROUGH, passthrough_run },
+};
+
 static int
 run (struct settings *settings)
 {
-  int status;
+  int status = 1;
 
   catch_signals ();
   io_log_open (settings->log_level);
   if (settings->random_seed == 0)
     settings->random_seed = io_wall_ms ();
-  status = settings->role == ROLE_AGENT ? agent_run (settings)
-                                        : balancer_run (settings);
+  for (size_t i = 0; i < sizeof runs / sizeof runs[0]; i++)
+    if (runs[i].role == settings->role)
+      status = runs[i].run (settings);
   io_log_close ();
   return status;
 }
--- /dev/null
+++ b/daemon/passthrough.c
@@ -0,0 +1,519 @@
+/* passthrough.c -- the agent role where the backend server ends flows
+
+   Sockets round a pass-through agent: packets from balancers, packets from the
+   backend server, control messages, heartbeats over HTTP, and a connection
+   attempt that tells whether the backend server lives.  */
+
+#include "core/pass.h"
+#include "daemon/daemon.h"
+#include "platform/platform.h"
+
+#include <errno.h>
+#include <jansson.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define TICK_MS         20
+#define DATAGRAM_CAP    4096
+#define READS_PER_EVENT 256  /* before other sources get their turn */
+#define CHECK_MAX_MS    1000 /* a connection attempt that takes longer fails */
+#define STOP_MS         100  /* balancers have heard by then */
+
+struct passthrough;
+
+struct passthrough_socket
+{
+  struct io_source source;
+  struct passthrough *pass;
+};
+
+struct passthrough
+{
+  const struct settings *settings;
+  struct io_loop *loop;
+  struct bl_pass *core;
+  struct admin *admin;
+  struct admin *beats;
+  struct registry *registry;
+  struct decision_log *log;
+  struct passthrough_socket links;
+  struct passthrough_socket outgoing;
+  struct passthrough_socket control;
+  struct passthrough_socket check; /* fd 0: none under way */
+  uint64_t check_ms;
+  pthread_mutex_t mutex;
+  uint64_t stopping_ms;
+  uint64_t malformed;
+  uint8_t datagram[DATAGRAM_CAP];
+};
+
+static void
+lock (void *ctx)
+{
+  struct passthrough *p = ctx;
+  pthread_mutex_lock (&p->mutex);
+}
+
+static void
+unlock (void *ctx)
+{
+  struct passthrough *p = ctx;
+  pthread_mutex_unlock (&p->mutex);
+}
+
+/* -- packets -- */
+
+static void
+on_links (struct io_source *source, uint32_t events)
+{
+  struct passthrough *p = ((struct passthrough_socket *)source)->pass;
+  struct platform_packet packet;
+  struct bl_link link;
+  struct bl_addr from;
+
+  (void)events;
+  for (int i = 0; i < READS_PER_EVENT; i++)
+    {
+      int n = io_udp_receive (source->fd, &from, p->datagram, DATAGRAM_CAP);
+      int head = n >= 0 ? bl_link_decode (&link, p->datagram, (size_t)n) : 0;
+      const uint8_t *bytes = p->datagram + head;
+      size_t len = (size_t)(n - head);
+      bool has_packet;
+      if (n < 0)
+        return;
+      if (head < 0)
+        {
+          p->malformed++;
+          continue;
+        }
+      has_packet = platform_packet_parse (&packet, bytes, len, false) == BL_OK;
+      bl_pass_link (p->core, io_now_ms (), from, &link,
+                    has_packet ? &packet.packet : NULL, bytes, len);
+    }
+}
+
+static void
+on_outgoing (struct io_source *source, uint32_t events)
+{
+  struct passthrough *p = ((struct passthrough_socket *)source)->pass;
+  struct platform_packet packet;
+
+  (void)events;
+  for (int i = 0; i < READS_PER_EVENT; i++)
+    {
+      int n = io_udp_receive (source->fd, NULL, p->datagram, DATAGRAM_CAP);
+      uint64_t now = io_now_ms ();
+      if (n < 0)
+        return;
+      if (platform_packet_parse (&packet, p->datagram, (size_t)n, true)
+          != BL_OK)
+        p->malformed++;
+      else if (!packet.returned)
+        bl_pass_outgoing (p->core, now, &packet.packet, p->datagram, (size_t)n);
+      else
+        {
+          platform_packet_mark (p->datagram, 0);
+          bl_pass_returned (p->core, now, &packet.packet, packet.token,
+                            p->datagram, (size_t)n);
+        }
+    }
+}
+
+static void
+on_control (struct io_source *source, uint32_t events)
+{
+  struct passthrough *p = ((struct passthrough_socket *)source)->pass;
+  struct bl_addr from;
+  int n;
+
+  (void)events;
+  while ((n = io_udp_receive (source->fd, &from, p->datagram, DATAGRAM_CAP))
+         >= 0)
+    bl_pass_message (p->core, io_now_ms (), from, p->datagram, (size_t)n);
+}
+
+/* -- the backend server lives, or not -- */
+
+static void
+end_check (struct passthrough *p)
+{
+  io_loop_remove (p->loop, &p->check.source);
+  close (p->check.source.fd);
+  p->check.source.fd = 0;
+}
+
+static void
+on_check (struct io_source *source, uint32_t events)
+{
+  struct passthrough *p = ((struct passthrough_socket *)source)->pass;
+  int err = 0;
+  socklen_t len = sizeof err;
+
+  (void)events;
+  if (getsockopt (source->fd, SOL_SOCKET, SO_ERROR, &err, &len) != 0)
+    err = errno;
+  end_check (p);
+  bl_pass_checked (p->core, io_now_ms (), err == 0);
+}
+
+static void
+core_check (void *ctx)
+{
+  struct passthrough *p = ctx;
+  int fd;
+
+  if (p->check.source.fd > 0)
+    return;
+  fd = io_tcp_connect (p->settings->backend);
+  if (fd < 0)
+    {
+      io_log (IO_WARN, "check_failed", "reason=\"%s\"", strerror (errno));
+      return;
+    }
+  p->check_ms = io_now_ms ();
+  p->check.source = (struct io_source){
+    .fd = fd,
+    .events = EPOLLOUT,
+    .ready = on_check,
+  };
+  io_loop_add (p->loop, &p->check.source);
+}
+
+/* An attempt that hangs tells nothing for certain: the queue of connections
+   may be full.  */
+static void
+limit_check (struct passthrough *p)
+{
+  if (p->check.source.fd > 0 && io_now_ms () - p->check_ms > CHECK_MAX_MS)
+    end_check (p);
+}
+
+/* -- what the core asks for -- */
+
+static void
+core_deliver (void *ctx, const uint8_t *packet, size_t len, uint32_t token)
+{
+  struct passthrough *p = ctx;
+  uint8_t copy[DATAGRAM_CAP];
+
+  memcpy (copy, packet, len);
+  platform_packet_mark (copy, token);
+  io_udp_send (p->outgoing.source.fd, p->settings->backend, copy, len);
+}
+
+static void
+core_answer (void *ctx, uint32_t ip, const uint8_t *packet, size_t len)
+{
+  struct passthrough *p = ctx;
+  struct bl_addr caller = { ip, p->settings->packets.port };
+
+  io_udp_send (p->links.source.fd, caller, packet, len);
+}
+
+static void
+core_to_balancer (void *ctx,
+                  struct bl_addr to,
+                  const struct bl_link *link,
+                  const uint8_t *packet,
+                  size_t len)
+{
+  struct passthrough *p = ctx;
+  uint8_t head[BL_LINK_MAX];
+  size_t head_len = bl_link_encode (link, head);
+
+  io_udp_send_parts (p->links.source.fd, to, head, head_len, packet, len);
+}
+
+static void
+core_send (void *ctx, struct bl_addr to, const uint8_t *buf, size_t len)
+{
+  struct passthrough *p = ctx;
+  io_udp_send (p->control.source.fd, to, buf, len);
+}
+
+static void
+core_publish (void *ctx, const struct bl_record *record)
+{
+  struct passthrough *p = ctx;
+  registry_publish (p->registry, record);
+}
+
+static void
+core_decided (void *ctx,
+              const char *what,
+              const char *why,
+              const struct bl_flow_key *flow,
+              uint64_t age_ms)
+{
+  struct passthrough *p = ctx;
+  char text[FLOW_TEXT_MAX];
+  uint64_t suppressed;
+
+  if (!decision_log_pass (p->log, io_now_ms (), what, &suppressed))
+    return;
+  io_log (IO_INFO, what,
+          "flow=%s why=%s age_ms=%lu busy=%u flows=%zu suppressed=%lu",
+          flow_format (flow, text), why, age_ms, bl_pass_busy (p->core),
+          bl_pass_flow_count (p->core), suppressed);
+}
+
+/* -- heartbeats -- */
+
+static int
+put_heartbeat (struct passthrough *p,
+               struct bl_str id,
+               const struct admin_request *r)
+{
+  static struct bl_findings findings;
+  struct bl_heartbeat beat;
+
+  findings.count = 0;
+  if (platform_heartbeat_parse (&beat, id, r->body, &findings) != BL_OK)
+    {
+      p->malformed++;
+      io_log (IO_WARN, "heartbeat_unreadable", "place=\"%s\" why=\"%s\"",
+              findings.items[0].place, findings.items[0].text);
+      return 400;
+    }
+  return bl_pass_heartbeat (p->core, io_now_ms (), &beat) == BL_EFORMAT ? 400
+                                                                        : 200;
+}
+
+static int
+on_heartbeat (void *ctx, const struct admin_request *r)
+{
+  struct passthrough *p = ctx;
+  size_t prefix = strlen (PLATFORM_HEARTBEAT_PATH);
+  struct bl_str id = { r->path.ptr + prefix, r->path.len - prefix };
+  struct bl_name name;
+
+  if (r->method.len == 3 && memcmp (r->method.ptr, "PUT", 3) == 0)
+    return put_heartbeat (p, id, r);
+  if (r->method.len != 6 || memcmp (r->method.ptr, "DELETE", 6) != 0)
+    return 405;
+  if (bl_name_set (&name, id) != BL_OK)
+    return 400;
+  /* One that is not known here has left already.  */
+  bl_pass_leave (p->core, io_now_ms (), &name);
+  return 200;
+}
+
+/* -- admin -- */
+
+static bool
+admin_ready (void *ctx)
+{
+  struct passthrough *p = ctx;
+  return p->stopping_ms == 0;
+}
+
+static int
+on_readiness (void *ctx, const struct admin_request *request)
+{
+  (void)request;
+  return admin_ready (ctx) ? 200 : 503;
+}
+
+static void
+admin_metrics (void *ctx, struct text *out)
+{
+  struct passthrough *p = ctx;
+
+  for (int i = 0; i < BL_PASS_COUNTERS; i++)
+    {
+      char name[64];
+      snprintf (name, sizeof name, "pass_%s_total", bl_pass_counter_name (i));
+      metric_add (out, "counter", name, "", bl_pass_counter (p->core, i));
+    }
+  metric_add (out, "counter", "pass_malformed_total", "", p->malformed);
+  metric_add (out, "gauge", "pass_flows", "", bl_pass_flow_count (p->core));
+  metric_add (out, "gauge", "pass_busy", "", bl_pass_busy (p->core));
+  metric_add (out, "counter", "pass_store_calls_total", "",
+              registry_calls (p->registry));
+}
+
+static json_t *
+admin_status (void *ctx)
+{
+  struct passthrough *p = ctx;
+  const struct bl_record *r = bl_pass_record (p->core);
+
+  return json_pack ("{s:s, s:s, s:s, s:s, s:s, s:I, s:I}", "role", "agent",
+                    "id", r->id.s, "dc", r->dc.s, "service", r->service.s,
+                    "state", bl_state_name (r->state), "flows",
+                    (json_int_t)bl_pass_flow_count (p->core), "busy",
+                    (json_int_t)bl_pass_busy (p->core));
+}
+
+static void
+start_stop (struct passthrough *p)
+{
+  if (p->stopping_ms != 0)
+    return;
+  p->stopping_ms = io_now_ms ();
+  io_log (IO_INFO, "stop_started", "id=%s flows=%zu", p->settings->id.s,
+          bl_pass_flow_count (p->core));
+  bl_pass_stop (p->core, p->stopping_ms);
+}
+
+static void
+admin_drain (void *ctx)
+{
+  start_stop (ctx);
+}
+
+static const struct admin_ops admin_ops = {
+  .ready = admin_ready,
+  .metrics = admin_metrics,
+  .status = admin_status,
+  .drain = admin_drain,
+  .lock = lock,
+  .unlock = unlock,
+};
+
+/* -- life -- */
+
+static void
+on_tick (void *ctx)
+{
+  struct passthrough *p = ctx;
+  uint64_t now = io_now_ms ();
+
+  bl_pass_tick (p->core, now);
+  limit_check (p);
+  if (daemon_reloading ())
+    io_log (IO_INFO, "reloaded", "id=%s changed=nothing", p->settings->id.s);
+  if (daemon_stopping ())
+    start_stop (p);
+  if (p->stopping_ms != 0 && now - p->stopping_ms >= STOP_MS)
+    io_loop_stop (p->loop);
+}
+
+static int
+open_core (struct passthrough *p)
+{
+  const struct settings *s = p->settings;
+  static const struct bl_pass_ops ops = {
+    .deliver = core_deliver,
+    .answer = core_answer,
+    .to_balancer = core_to_balancer,
+    .send = core_send,
+    .check = core_check,
+    .publish = core_publish,
+    .decided = core_decided,
+  };
+  struct bl_pass_settings settings = {
+    .self = {
+      .kind = BL_KIND_BACKEND,
+      .id = s->id,
+      .dc = s->dc,
+      .service = s->service,
+      .ip = s->ip,
+      .data_port = s->packets.port,
+      .control_port = (uint16_t)s->control_port,
+      .admin_port = s->http.port,
+      .incarnation = io_wall_ms (),
+    },
+    .heartbeat_ms = s->heartbeat_ms,
+    .seed_count = s->seed_count,
+  };
+
+  memcpy (settings.seeds, s->seeds, sizeof settings.seeds);
+  for (size_t i = 0; i < s->seed_count; i++)
+    settings.seeds[i].port = (uint16_t)s->control_port;
+  p->core = bl_pass_new (&settings, &ops, p);
+  return p->core != NULL ? 0 : -1;
+}
+
+static int
+open_http (struct passthrough *p)
+{
+  const struct settings *s = p->settings;
+
+  p->admin = admin_start (s->http.ip, s->http.port, &admin_ops, p);
+  p->beats = admin_start (s->heartbeats.ip, s->heartbeats.port, &admin_ops, p);
+  if (p->admin == NULL || p->beats == NULL)
+    {
+      io_log (IO_ERROR, "cannot_bind", "http_port=%u heartbeats_port=%u",
+              s->http.port, s->heartbeats.port);
+      return -1;
+    }
+  admin_handle (p->admin, PLATFORM_READY_PATH "$", on_readiness);
+  admin_handle (p->beats, PLATFORM_HEARTBEAT_PATH "**", on_heartbeat);
+  return 0;
+}
+
+static int
+open_all (struct passthrough *p)
+{
+  const struct settings *s = p->settings;
+
+  p->links.pass = p;
+  p->outgoing.pass = p;
+  p->control.pass = p;
+  p->check.pass = p;
+  p->loop = io_loop_new ();
+  p->log = decision_log_new ((unsigned)s->log_lines_s);
+  p->registry = registry_start (s->store, s->random_seed);
+  if (p->loop == NULL || p->log == NULL || p->registry == NULL
+      || open_core (p) != 0)
+    return -1;
+  if (daemon_open_udp (p->loop, &p->links.source, s->packets.ip,
+                       s->packets.port, on_links)
+          != 0
+      || daemon_open_udp (p->loop, &p->outgoing.source, s->outgoing.ip,
+                          s->outgoing.port, on_outgoing)
+             != 0
+      || daemon_open_udp (p->loop, &p->control.source, s->ip, s->control_port,
+                          on_control)
+             != 0)
+    return -1;
+  return open_http (p);
+}
+
+static void
+close_all (struct passthrough *p)
+{
+  const struct passthrough_socket *all[]
+      = { &p->links, &p->outgoing, &p->control, &p->check };
+
+  registry_stop (p->registry, p->core != NULL && bl_pass_is_empty (p->core));
+  admin_stop (p->admin);
+  admin_stop (p->beats);
+  for (size_t i = 0; i < sizeof all / sizeof all[0]; i++)
+    if (all[i]->source.fd > 0)
+      close (all[i]->source.fd);
+  bl_pass_free (p->core);
+  decision_log_free (p->log);
+  io_loop_free (p->loop);
+  free (p);
+}
+
+int
+passthrough_run (const struct settings *settings)
+{
+  struct passthrough *p = calloc (1, sizeof *p);
+  int status = 1;
+
+  if (p == NULL)
+    return 1;
+  p->settings = settings;
+  pthread_mutex_init (&p->mutex, NULL);
+  if (open_all (p) == 0)
+    {
+      io_loop_set_lock (p->loop, lock, unlock, p);
+      io_loop_set_tick (p->loop, TICK_MS, on_tick, p);
+      io_log (IO_INFO, "started", "role=agent transport=datagram id=%s dc=%s",
+              settings->id.s, settings->dc.s);
+      io_loop_run (p->loop);
+      io_log (IO_INFO, "stopped", "role=agent id=%s", settings->id.s);
+      status = 0;
+    }
+  close_all (p);
+  return status;
+}
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -14,11 +14,17 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SLOTS_MAX    65535
-#define FLOWS_MAX    1000000
-#define GRACE_MAX_S  86400
-#define ENV_NAME_MAX 64
-#define ANY_ROLE     (ROLE_BALANCER | ROLE_AGENT)
+#define SLOTS_MAX        65535
+#define FLOWS_MAX        1000000
+#define GRACE_MAX_S      86400
+#define ENV_NAME_MAX     64
+#define HEARTBEAT_MAX_MS 60000
+#define LINES_MAX_S      100000
+/* Roles that end flows at callers' side, and those that only hand packets on
+   to backend servers that end flows themselves.  */
+#define IP_ROLES       (ROLE_BALANCER | ROLE_AGENT)
+#define DATAGRAM_ROLES (ROLE_DISPATCHER | ROLE_PASSTHROUGH)
+#define ANY_ROLE       (IP_ROLES | DATAGRAM_ROLES)
 
 struct option;
 
@@ -56,13 +62,13 @@
   { "dc", ANY_ROLE, true, "", read_name, AT (dc), 0,
     "data centre of this instance" },
   { "ip", ANY_ROLE, true, "", read_ip, AT (ip), 0, "address of this instance" },
-  { "data-port", ANY_ROLE, true, "", read_number, AT (data_port), 65535,
+  { "data-port", IP_ROLES, true, "", read_number, AT (data_port), 65535,
     "UDP port for packets" },
   { "control-port", ANY_ROLE, true, "", read_number, AT (control_port), 65535,
     "UDP port for control messages" },
   { "bulk-port", ROLE_BALANCER, true, "", read_number, AT (bulk_port), 65535,
     "TCP port for pulls by other instances" },
-  { "admin-port", ANY_ROLE, true, "", read_number, AT (admin_port), 65535,
+  { "admin-port", IP_ROLES, true, "", read_number, AT (admin_port), 65535,
     "HTTP port for health, metrics and administration" },
   { "seeds", ANY_ROLE, false, "", read_seeds, AT (seeds), 0,
     "control addresses of some balancers, comma-separated" },
@@ -75,10 +81,28 @@
     "longest graceful stop in seconds; 0 waits until all flows ended" },
   { "platform", ROLE_BALANCER, false, "", read_text, AT (platform), 0,
     "URL of the platform's object API" },
-  { "service", ROLE_AGENT, true, "", read_name, AT (service), 0,
-    "service of the backend server" },
-  { "backend", ROLE_AGENT, true, "", read_addr, AT (backend), 0,
-    "TCP address of the backend server" },
+  { "packets", DATAGRAM_ROLES, true, "", read_addr, AT (packets), 0,
+    "UDP address for packets: a balancer's from callers, an agent's from "
+    "balancers" },
+  { "outgoing", ROLE_PASSTHROUGH, true, "", read_addr, AT (outgoing), 0,
+    "UDP address for packets that the backend server sends" },
+  { "http", DATAGRAM_ROLES, true, "", read_addr, AT (http), 0,
+    "HTTP address for readiness and metrics" },
+  { "heartbeats", ROLE_PASSTHROUGH, true, "", read_addr, AT (heartbeats), 0,
+    "HTTP address for the backend server's heartbeats" },
+  { "store", DATAGRAM_ROLES, true, "", read_addr, AT (store), 0,
+    "address of the platform's object store" },
+  { "link-port", ROLE_DISPATCHER, true, "", read_number, AT (link_port), 65535,
+    "UDP port for agents' messages about flows" },
+  { "heartbeat-ms", ROLE_PASSTHROUGH, false, "1000", read_number,
+    AT (heartbeat_ms), HEARTBEAT_MAX_MS,
+    "milliseconds between two heartbeats of the backend server" },
+  { "log-lines-s", DATAGRAM_ROLES, false, "20", read_number, AT (log_lines_s),
+    LINES_MAX_S, "lines a second for each kind of decision, at most" },
+  { "service", ROLE_AGENT | ROLE_PASSTHROUGH, true, "", read_name, AT (service),
+    0, "service of the backend server" },
+  { "backend", ROLE_AGENT | ROLE_PASSTHROUGH, true, "", read_addr, AT (backend),
+    0, "TCP address of the backend server" },
   { "health", ROLE_AGENT, false, "", read_addr, AT (health), 0,
     "HTTP address that serves the backend server's /health" },
   { "answers", ROLE_AGENT, true, "", read_addr, AT (answers), 0,
@@ -248,9 +272,10 @@
              int argc,
              const char **argv,
              char **role,
+             char **transport,
              struct bl_findings *findings)
 {
-  struct poptOption table[OPTION_COUNT + 5];
+  struct poptOption table[OPTION_COUNT + 6];
   int check = 0;
   int print = 0;
   poptContext popt;
@@ -264,6 +289,11 @@
   table[OPTION_COUNT] = (struct poptOption){ "role", 0, POPT_ARG_STRING,
                                              role,   0, "balancer or agent",
                                              "ROLE" };
+  table[OPTION_COUNT + 4] = (struct poptOption){
+    "transport", 0, POPT_ARG_STRING,
+    transport,   0, "ip: agents end flows; datagram: backend servers do",
+    "TRANSPORT"
+  };
   table[OPTION_COUNT + 1]
       = (struct poptOption){ "check-settings", 0,   POPT_ARG_NONE, &check, 0,
                              "check and exit", NULL };
@@ -286,17 +316,46 @@
   return rc >= -1;
 }
 
+static const struct
+{
+  enum role role;
+  const char *name;
+  const char *transport;
+} roles[] = {
+  { ROLE_BALANCER, "balancer", "ip" },
+  { ROLE_AGENT, "agent", "ip" },
+  { ROLE_DISPATCHER, "balancer", "datagram" },
+  { ROLE_PASSTHROUGH, "agent", "datagram" },
+};
+
+#define ROLE_COUNT (sizeof roles / sizeof roles[0])
+
 static void
-read_role (struct settings *s, const char *text, struct bl_findings *findings)
+read_role (struct settings *s,
+           const char *name,
+           const char *transport,
+           struct bl_findings *findings)
 {
-  if (text == NULL)
-    text = getenv ("BORAGELATCH_ROLE");
-  if (text != NULL && strcmp (text, "balancer") == 0)
-    s->role = ROLE_BALANCER;
-  else if (text != NULL && strcmp (text, "agent") == 0)
-    s->role = ROLE_AGENT;
-  else
+  bool known = false;
+
+  if (name == NULL)
+    name = getenv ("BORAGELATCH_ROLE");
+  if (transport == NULL)
+    transport = getenv ("BORAGELATCH_TRANSPORT");
+  if (transport == NULL)
+    transport = "ip";
+  for (size_t i = 0; i < ROLE_COUNT && name != NULL; i++)
+    {
+      if (strcmp (name, roles[i].name) != 0)
+        continue;
+      known = true;
+      if (strcmp (transport, roles[i].transport) == 0)
+        s->role = roles[i].role;
+    }
+  if (!known)
     bl_findings_add (findings, "--role", "must be balancer or agent");
+  else if (s->role == 0)
+    bl_findings_add (findings, "--transport", "must be ip or datagram");
 }
 
 static void
@@ -323,11 +382,13 @@
                struct bl_findings *findings)
 {
   char *role = NULL;
+  char *transport = NULL;
 
   memset (s, 0, sizeof *s);
-  if (parse_flags (s, argc, argv, &role, findings))
-    read_role (s, role, findings);
+  if (parse_flags (s, argc, argv, &role, &transport, findings))
+    read_role (s, role, transport, findings);
   free (role);
+  free (transport);
   for (size_t i = 0; i < OPTION_COUNT; i++)
     {
       fill_missing (i);
@@ -339,7 +400,9 @@
 void
 settings_print (const struct settings *s)
 {
-  printf ("role=%s\n", s->role == ROLE_AGENT ? "agent" : "balancer");
+  for (size_t i = 0; i < ROLE_COUNT; i++)
+    if (roles[i].role == s->role)
+      printf ("role=%s\ntransport=%s\n", roles[i].name, roles[i].transport);
   for (size_t i = 0; i < OPTION_COUNT; i++)
     if (options[i].roles & s->role)
       printf ("%s=%s origin=%s\n", options[i].name, values[i], origins[i]);
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -9,6 +9,8 @@
 {
   ROLE_BALANCER = 1,
   ROLE_AGENT = 2,
+  ROLE_DISPATCHER = 4,  /* a balancer whose transport is datagram */
+  ROLE_PASSTHROUGH = 8, /* an agent whose transport is datagram */
 };
 
 struct settings
@@ -29,8 +31,16 @@
   char *platform; /* URL; empty: none */
   struct bl_name service;
   struct bl_addr backend;
-  struct bl_addr health;  /* HTTP; port 0: a connection attempt is the check */
-  struct bl_addr answers; /* where packets to callers are handed over */
+  struct bl_addr health;   /* HTTP; port 0: a connection attempt is the check */
+  struct bl_addr answers;  /* where packets to callers are handed over */
+  struct bl_addr packets;  /* datagram: from callers, or from balancers */
+  struct bl_addr outgoing; /* datagram: from the backend server */
+  struct bl_addr http;     /* datagram: readiness, metrics */
+  struct bl_addr heartbeats; /* datagram: HTTP for the backend server */
+  struct bl_addr store;      /* datagram: the platform's object store */
+  unsigned long link_port;   /* datagram: UDP, messages about flows */
+  unsigned long heartbeat_ms;
+  unsigned long log_lines_s;
   unsigned long slots;
   unsigned long max_flows;
   bool check_only;
--- a/io/io.h
+++ b/io/io.h
@@ -88,6 +88,13 @@
    negative errno.  */
 int io_udp_open (struct bl_addr *addr);
 int io_udp_send (int fd, struct bl_addr to, const void *buf, size_t len);
+/* The same for a datagram in two parts; the second may be empty.  */
+int io_udp_send_parts (int fd,
+                       struct bl_addr to,
+                       const void *head,
+                       size_t head_len,
+                       const void *body,
+                       size_t body_len);
 /* Returns the length of one datagram, or -1 when there is none.  */
 int io_udp_receive (int fd, struct bl_addr *from, void *buf, size_t cap);
 
@@ -200,6 +207,9 @@
 
 /* -- plain HTTP requests, for the command-line tool -- */
 
+/* To be called by whoever uses the HTTP library directly.  */
+void io_http_init (void);
+
 /* GET or POST; returns the status, or 0 when there was no answer.  */
 long io_http_request (const char *method,
                       const char *url,
--- a/io/platform.c
+++ b/io/platform.c
@@ -53,6 +53,12 @@
   curl_global_init (CURL_GLOBAL_DEFAULT);
 }
 
+void
+io_http_init (void)
+{
+  pthread_once (&curl_once, init_curl);
+}
+
 void
 io_object_clear (struct io_object *object)
 {
@@ -175,7 +181,7 @@
 {
   struct io_platform *p = calloc (1, sizeof *p);
 
-  pthread_once (&curl_once, init_curl);
+  io_http_init ();
   if (p == NULL)
     return NULL;
   snprintf (p->url, sizeof p->url, "%s", url);
@@ -361,7 +367,7 @@
   CURL *curl;
   long status;
 
-  pthread_once (&curl_once, init_curl);
+  io_http_init ();
   curl = curl_easy_init ();
   if (curl == NULL)
     return 0;
--- a/io/udp.c
+++ b/io/udp.c
@@ -72,6 +72,29 @@
                       sizeof sa);
 }
 
+int
+io_udp_send_parts (int fd,
+                   struct bl_addr to,
+                   const void *head,
+                   size_t head_len,
+                   const void *body,
+                   size_t body_len)
+{
+  struct sockaddr_in sa = to_sockaddr (to);
+  struct iovec iov[2] = {
+    { .iov_base = (void *)head, .iov_len = head_len },
+    { .iov_base = (void *)body, .iov_len = body_len },
+  };
+  struct msghdr msg = {
+    .msg_name = &sa,
+    .msg_namelen = sizeof sa,
+    .msg_iov = iov,
+    .msg_iovlen = body_len > 0 ? 2 : 1,
+  };
+
+  return (int)sendmsg (fd, &msg, MSG_DONTWAIT);
+}
+
 int
 io_udp_receive (int fd, struct bl_addr *from, void *buf, size_t cap)
 {
