Notice forgotten watches soon, and bound the list of agents asked

Exits 139/134: ask_some ran twice over a list sized before an agent joined. Ruled out: a slow pull between balancers (no balancer had the version at all). Change: waits differ by chance and grow with the number of balancers (about two calls a second for the fleet), newer routes are told to all balancers at once, an agent is asked once and the list grows.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -514,6 +514,7 @@
     }
   bl_table_free (d->table);
   d->table = table;
+  d->has_news = true;
   bl_dispatch_note (d, "configured", "newer_version", NULL, NULL, 0);
   return BL_OK;
 }
--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -47,6 +47,7 @@
   uint64_t started_ms;
   uint64_t probed_ms; /* when the packet was last offered to one unsure */
   size_t count;
+  size_t cap;
   struct bl_asked *asked; /* owned */
   struct bl_target *probed;
   bool everywhere; /* not only the route's own services were asked */
@@ -91,6 +92,7 @@
   uint64_t next_sweep_ms;
   uint64_t next_seed_ms;
   uint64_t next_share_ms;
+  bool has_news; /* other balancers are to be told of newer routes */
   struct bl_buffer buffer;
   uint64_t counters[BL_DISPATCH_COUNTERS];
 };
--- a/core/dispatch_inquiry.c
+++ b/core/dispatch_inquiry.c
@@ -30,6 +30,31 @@
   return false;
 }
 
+static bool
+was_asked (const struct bl_inquiry *q, const struct bl_target *t)
+{
+  for (size_t i = 0; i < q->count; i++)
+    if (q->asked[i].target == t)
+      return true;
+  return false;
+}
+
+static bool
+note_asked (struct bl_inquiry *q, struct bl_target *t)
+{
+  if (q->count == q->cap)
+    {
+      size_t cap = q->cap > 0 ? q->cap * 2 : 16;
+      struct bl_asked *asked = realloc (q->asked, cap * sizeof *asked);
+      if (asked == NULL)
+        return false;
+      q->asked = asked;
+      q->cap = cap;
+    }
+  q->asked[q->count++] = (struct bl_asked){ .target = t };
+  return true;
+}
+
 static void
 ask (struct bl_dispatch *d, struct bl_passing *f, struct bl_target *t)
 {
@@ -40,7 +65,9 @@
     .ack = f->last_ack,
   };
 
-  f->inquiry.asked[f->inquiry.count++] = (struct bl_asked){ .target = t };
+  /* Routes may have changed since the first were asked.  */
+  if (was_asked (&f->inquiry, t) || !note_asked (&f->inquiry, t))
+    return;
   bl_target_asked (t, d->now);
   d->ops.to_agent (d->ctx, bl_target_data (t), &link, NULL, 0);
 }
@@ -71,17 +98,9 @@
                   struct bl_passing *f,
                   const struct bl_bytes *b)
 {
-  size_t cap = HASH_COUNT (d->fleet.targets) + 1;
-
   bl_passing_hold (f, b);
   free (f->inquiry.asked);
   f->inquiry = (struct bl_inquiry){ .started_ms = d->now };
-  f->inquiry.asked = calloc (cap, sizeof *f->inquiry.asked);
-  if (f->inquiry.asked == NULL)
-    {
-      bl_passing_remove (d, f);
-      return;
-    }
   f->phase = BL_PHASE_SEARCHING;
   f->owner = NULL;
   f->since_ms = d->now;
--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -3,7 +3,8 @@
    Every instance is asked for its status in turn; the interval grows with
    their number, so that what a balancer sends and gets stays within
    STATUS_BYTES_S whatever the size of the fleet.  An instance that has left a
-   question open is asked again soon.  Balancers send each other the records
+   question open is asked again soon.  Balancers tell each other at once that
+   they have newer routes, and send each other the records
    that they hold when their digests differ, so one of them that knows an
    instance is enough.  */
 
@@ -96,9 +97,12 @@
   {
     /* What was heard on a flow's behalf is as good as an answer.  */
     uint64_t last = t->heard_ms > t->pinged_ms ? t->heard_ms : t->pinged_ms;
-    if (t->record.state < BL_STATE_LEFT && d->now - last >= interval_of (d, t))
+    bool told = d->has_news && t->record.kind == BL_KIND_MEMBER;
+    if (t->record.state < BL_STATE_LEFT
+        && (told || d->now - last >= interval_of (d, t)))
       ask_status (d, t);
   }
+  d->has_news = false;
 }
 
 /* Sends all records held to a peer that holds others.  */
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -129,7 +129,7 @@
 {
   struct bl_addr store;
   const char *kind;
-  unsigned wait_ms;  /* of one watch */
+  unsigned wait_ms;  /* of one watch, at most; half of it at least */
   unsigned pause_ms; /* after a change, so that others join it in one call */
   bool stale;        /* may be seconds old, for less */
   uint64_t random_seed;
@@ -144,6 +144,8 @@
                                                 const char *text),
                                  void *ctx);
 void follower_stop (struct follower *follower);
+/* Changes how long the next watches wait; from any thread.  */
+void follower_set_wait (struct follower *follower, unsigned wait_ms);
 uint64_t follower_calls (const struct follower *follower);
 
 /* -- log of decisions -- */
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -18,16 +18,21 @@
 #include <sys/epoll.h>
 #include <unistd.h>
 
-#define TICK_MS          20
-#define DATAGRAM_CAP     65536
-#define READS_PER_EVENT  16   /* batches before other sources get their turn */
-#define ROUTES_WAIT_MS   5000 /* of one watch; a silent connection costs this */
-#define MEMBERS_WAIT_MS  25000 /* of one watch */
-#define MEMBERS_PAUSE_MS 300   /* changes join in one call meanwhile */
-#define PULL_MS          300   /* between two pulls of routes */
-#define STOP_MIN_MS      1300  /* the routers have noticed by then */
-#define STOP_QUIET_MS    500   /* without packets: they have let go */
-#define STOP_MAX_MS      4000
+#define TICK_MS         20
+#define DATAGRAM_CAP    65536
+#define READS_PER_EVENT 16 /* batches before other sources get their turn */
+/* Watches of the routes wait longer the more balancers there are, so that the
+   fleet makes about two calls a second together; a watch that the store has
+   forgotten is noticed by one of them within a second, and it tells all.  */
+#define ROUTES_WAIT_EACH_MS 650 /* for each balancer */
+#define ROUTES_WAIT_MIN_MS  1500
+#define ROUTES_WAIT_MAX_MS  15000
+#define MEMBERS_WAIT_MS     25000 /* of one watch */
+#define MEMBERS_PAUSE_MS    300   /* changes join in one call meanwhile */
+#define PULL_MS             300   /* between two pulls of routes */
+#define STOP_MIN_MS         1300  /* the routers have noticed by then */
+#define STOP_QUIET_MS       500   /* without packets: they have let go */
+#define STOP_MAX_MS         4000
 
 struct dispatcher;
 
@@ -436,6 +441,18 @@
     io_loop_stop (d->loop);
 }
 
+static unsigned
+routes_wait_ms (const struct dispatcher *d)
+{
+  const struct bl_fleet *fleet = bl_dispatch_fleet (d->core);
+  size_t balancers = HASH_COUNT (fleet->targets) - fleet->backend_count + 1;
+  size_t ms = balancers * ROUTES_WAIT_EACH_MS;
+
+  if (ms < ROUTES_WAIT_MIN_MS)
+    return ROUTES_WAIT_MIN_MS;
+  return ms < ROUTES_WAIT_MAX_MS ? (unsigned)ms : ROUTES_WAIT_MAX_MS;
+}
+
 static void
 on_tick (void *ctx)
 {
@@ -443,6 +460,7 @@
 
   bl_dispatch_tick (d->core, io_now_ms ());
   io_bulk_poll (d->bulk);
+  follower_set_wait (d->routes, routes_wait_ms (d));
   if (daemon_reloading ())
     io_log (IO_INFO, "reloaded", "id=%s changed=nothing", d->settings->id.s);
   if (daemon_stopping ())
@@ -528,7 +546,7 @@
   struct follower_settings routes = {
     .store = s->store,
     .kind = PLATFORM_CONFIG_KIND,
-    .wait_ms = ROUTES_WAIT_MS,
+    .wait_ms = ROUTES_WAIT_MIN_MS,
     .random_seed = s->random_seed,
   };
   struct follower_settings members = {
--- a/daemon/follower.c
+++ b/daemon/follower.c
@@ -1,8 +1,10 @@
 /* follower.c -- follows all objects of one kind in the platform's store
 
-   Lists them once, then waits for changes.  When the history was discarded, it
-   lists again; when the store does not answer, it waits a little longer each
-   time and goes on from where it was.  */
+   Lists them once, then waits for changes.  Waits differ by chance, so that the
+   followers of a fleet do not end theirs at the same moment: when the store
+   has forgotten all watches, one of them notices soon.  When the history was
+   discarded, it lists again; when the store does not answer, it waits a little
+   longer each time and goes on from where it was.  */
 
 #include "daemon/daemon.h"
 #include "platform/platform.h"
@@ -23,6 +25,7 @@
   struct platform_visitor visitor;
   struct bl_random random;
   volatile bool stopped;
+  volatile unsigned wait_ms;
   bool reachable;
   bool changed; /* during the call under way */
   void (*visit) (void *ctx,
@@ -75,6 +78,14 @@
   return ms / 2 + bl_random_below (&f->random, ms / 2 + 1);
 }
 
+static unsigned
+next_wait_ms (struct follower *f)
+{
+  unsigned half = f->wait_ms / 2;
+
+  return half + bl_random_below (&f->random, half + 1);
+}
+
 static void *
 run (void *ctx)
 {
@@ -92,7 +103,7 @@
                                       &revision);
       else
         result = platform_store_watch (f->store, f->settings.kind,
-                                       f->settings.wait_ms, f->settings.stale,
+                                       next_wait_ms (f), f->settings.stale,
                                        &f->visitor, &revision);
       note_result (f, result);
       if (result == PLATFORM_OK)
@@ -123,6 +134,7 @@
     return NULL;
   f->settings = *settings;
   f->random.state = settings->random_seed;
+  f->wait_ms = settings->wait_ms;
   f->visitor = (struct platform_visitor){ .visit = on_object, .ctx = f };
   f->visit = visit;
   f->ctx = ctx;
@@ -149,6 +161,12 @@
   free (follower);
 }
 
+void
+follower_set_wait (struct follower *follower, unsigned wait_ms)
+{
+  follower->wait_ms = wait_ms;
+}
+
 uint64_t
 follower_calls (const struct follower *follower)
 {
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -97,7 +97,8 @@
   catch_signals ();
   io_log_open (settings->log_level);
   if (settings->random_seed == 0)
-    settings->random_seed = io_wall_ms ();
+    settings->random_seed
+        = (unsigned long)(io_wall_ms () ^ bl_name_hash (&settings->id, 0));
   for (size_t i = 0; i < sizeof runs / sizeof runs[0]; i++)
     if (runs[i].role == settings->role)
       status = runs[i].run (settings);
