Pull routes from peers over HTTP, for as long as a peer is ahead

Ruled out: a lost datagram that tells of the version (pulls were made). Change: a thread reads the text over HTTP from the peer; asked again every 250 ms while a peer is ahead. Conclusion: ZeroMQ is not used where backend servers end flows.

--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -92,6 +92,7 @@
   uint64_t next_sweep_ms;
   uint64_t next_seed_ms;
   uint64_t next_share_ms;
+  uint64_t next_pull_ms;
   bool has_news; /* other balancers are to be told of newer routes */
   struct bl_buffer buffer;
   uint64_t counters[BL_DISPATCH_COUNTERS];
--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -20,6 +20,7 @@
 #define DARK_PING_MS    1000 /* the same once it counts as gone */
 #define SEED_MS         1000 /* between questions to the seeds */
 #define SHARE_MS        500  /* between sendings of records to one peer */
+#define PULL_MS         250  /* between two pulls of routes */
 #define SHARE_RECORDS   8    /* records that fit a datagram */
 
 static void
@@ -86,6 +87,20 @@
   return ms < STATUS_MIN_MS ? STATUS_MIN_MS : ms;
 }
 
+/* A pull may be lost: it is made again for as long as the peer is ahead.  */
+static void
+pull_if_behind (struct bl_dispatch *d, struct bl_target *peer)
+{
+  uint64_t version = d->table != NULL ? d->table->version : 0;
+
+  if (peer->config_version <= version || d->now < d->next_pull_ms)
+    return;
+  d->next_pull_ms = d->now + PULL_MS;
+  bl_dispatch_note (d, "routes_pulled", "peer_is_ahead", NULL, peer,
+                    d->now - peer->heard_ms);
+  d->ops.pull (d->ctx, peer);
+}
+
 void
 bl_members_tick (struct bl_dispatch *d)
 {
@@ -101,6 +116,8 @@
     if (t->record.state < BL_STATE_LEFT
         && (told || d->now - last >= interval_of (d, t)))
       ask_status (d, t);
+    if (t->record.kind == BL_KIND_MEMBER && !t->suspect)
+      pull_if_behind (d, t);
   }
   d->has_news = false;
 }
@@ -165,11 +182,8 @@
               struct bl_addr from,
               const struct bl_msg *msg)
 {
-  uint64_t version = d->table != NULL ? d->table->version : 0;
-
   peer->config_version = msg->config_version;
-  if (msg->config_version > version)
-    d->ops.pull (d->ctx, peer);
+  pull_if_behind (d, peer);
   if (msg->digest != bl_store_digest (d->fleet.store))
     share_records (d, from);
 }
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -36,6 +36,23 @@
   struct added added[ADDED_MAX];
 };
 
+void
+text_append (struct text *text, struct bl_str more)
+{
+  if (text->len + more.len + 1 > text->cap)
+    {
+      size_t cap = (text->len + more.len + 1) * 2;
+      char *ptr = realloc (text->ptr, cap);
+      if (ptr == NULL)
+        return;
+      text->ptr = ptr;
+      text->cap = cap;
+    }
+  memcpy (text->ptr + text->len, more.ptr, more.len);
+  text->len += more.len;
+  text->ptr[text->len] = '\0';
+}
+
 void
 text_add (struct text *text, const char *format, ...)
 {
@@ -48,17 +65,7 @@
   va_end (args);
   if (n >= sizeof line)
     n = sizeof line - 1;
-  if (text->len + n + 1 > text->cap)
-    {
-      size_t cap = (text->len + n + 1) * 2;
-      char *ptr = realloc (text->ptr, cap);
-      if (ptr == NULL)
-        return;
-      text->ptr = ptr;
-      text->cap = cap;
-    }
-  memcpy (text->ptr + text->len, line, n + 1);
-  text->len += n;
+  text_append (text, (struct bl_str){ line, n });
 }
 
 void
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -42,6 +42,8 @@
 void text_add (struct text *text, const char *format, ...)
     __attribute__ ((format (printf, 2, 3)));
 
+void text_append (struct text *text, struct bl_str more);
+
 /* What a role serves.  Every function is called with the lock held.  */
 struct admin_ops
 {
@@ -148,6 +150,20 @@
 void follower_set_wait (struct follower *follower, unsigned wait_ms);
 uint64_t follower_calls (const struct follower *follower);
 
+/* -- documents of other instances -- */
+
+/* Reads PATH from instances that are asked for it, on a thread of its own;
+   TAKE is called from there.  */
+struct puller;
+
+struct puller *
+puller_start (const char *path,
+              void (*take) (void *ctx, struct bl_addr from, struct bl_str text),
+              void *ctx);
+/* One read at a time: left out while another is under way.  */
+void puller_ask (struct puller *puller, struct bl_addr from);
+void puller_stop (struct puller *puller);
+
 /* -- log of decisions -- */
 
 /* Lets so many lines of each kind through a second, and counts the rest.  */
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -29,10 +29,10 @@
 #define ROUTES_WAIT_MAX_MS  15000
 #define MEMBERS_WAIT_MS     25000 /* of one watch */
 #define MEMBERS_PAUSE_MS    300   /* changes join in one call meanwhile */
-#define PULL_MS             300   /* between two pulls of routes */
-#define STOP_MIN_MS         1300  /* the routers have noticed by then */
-#define STOP_QUIET_MS       500   /* without packets: they have let go */
-#define STOP_MAX_MS         4000
+#define ROUTES_PATH         "/v1/routes"
+#define STOP_MIN_MS         1300 /* the routers have noticed by then */
+#define STOP_QUIET_MS       500  /* without packets: they have let go */
+#define STOP_MAX_MS         3000
 
 struct dispatcher;
 
@@ -48,7 +48,7 @@
   struct io_loop *loop;
   struct bl_dispatch *core;
   struct bl_record self;
-  struct io_bulk *bulk;
+  struct puller *puller;
   struct admin *admin;
   struct io_batch *batch;
   struct registry *registry;
@@ -59,12 +59,10 @@
   struct dispatcher_socket links;
   struct dispatcher_socket control;
   pthread_mutex_t mutex;
-  char *routes_text; /* owned; of the table in force */
-  uint64_t pulled_ms;
+  char *routes_text;    /* owned; of the table in force */
   uint64_t packet_ms;   /* of the last packet of a caller */
   uint64_t stopping_ms; /* since when; 0: not */
   uint64_t malformed;
-  struct bl_buffer buffer;
   uint8_t datagram[DATAGRAM_CAP];
 };
 
@@ -191,20 +189,10 @@
 core_pull (void *ctx, const struct bl_target *peer)
 {
   struct dispatcher *d = ctx;
-  struct bl_addr to = { peer->record.ip, peer->record.bulk_port };
-  const struct bl_table *table = bl_dispatch_table (d->core);
-  struct bl_msg msg = {
-    .type = BL_MSG_PULL_CONFIG,
-    .from = d->settings->id,
-    .config_version = table != NULL ? table->version : 0,
-  };
-  uint64_t now = io_now_ms ();
+  struct bl_addr from = { peer->record.ip, peer->record.admin_port };
 
-  if (now - d->pulled_ms < PULL_MS || to.port == 0)
-    return;
-  d->pulled_ms = now;
-  if (bl_msg_encode (&msg, &d->buffer) == BL_OK)
-    io_bulk_pull (d->bulk, to, d->buffer.ptr, d->buffer.len);
+  if (from.port != 0)
+    puller_ask (d->puller, from);
 }
 
 static void
@@ -273,42 +261,27 @@
   unlock (d);
 }
 
-static const uint8_t *
-bulk_request (void *ctx, const uint8_t *buf, size_t len, size_t *reply_len)
+static void
+on_pulled (void *ctx, struct bl_addr from, struct bl_str text)
 {
   struct dispatcher *d = ctx;
-  struct bl_str text;
-  struct bl_msg reply = { .type = BL_MSG_CONFIG, .from = d->settings->id };
-  struct bl_msg msg;
+  char source[BL_ADDR_TEXT_MAX];
 
-  if (bl_msg_decode (&msg, buf, len) != BL_OK)
-    return NULL;
-  bl_msg_clear (&msg);
-  if (d->routes_text == NULL)
-    return NULL;
-  text = bl_str_of (d->routes_text);
-  reply.services = &text;
-  reply.service_count = 1;
-  if (bl_msg_encode (&reply, &d->buffer) != BL_OK)
-    return NULL;
-  *reply_len = d->buffer.len;
-  return d->buffer.ptr;
+  lock (d);
+  take_routes (d, text, bl_addr_format (from, source));
+  unlock (d);
 }
 
-static void
-bulk_reply (void *ctx, const uint8_t *buf, size_t len)
+/* Other balancers read the routes here.  */
+static int
+on_routes_request (void *ctx, const struct admin_request *request)
 {
   struct dispatcher *d = ctx;
-  struct bl_msg msg;
 
-  if (bl_msg_decode (&msg, buf, len) != BL_OK)
-    {
-      d->malformed++;
-      return;
-    }
-  if (msg.type == BL_MSG_CONFIG && msg.service_count == 1)
-    take_routes (d, msg.services[0], msg.from.s);
-  bl_msg_clear (&msg);
+  if (d->routes_text == NULL)
+    return 503;
+  text_append (request->answer, bl_str_of (d->routes_text));
+  return 200;
 }
 
 /* -- instances -- */
@@ -459,7 +432,6 @@
   struct dispatcher *d = ctx;
 
   bl_dispatch_tick (d->core, io_now_ms ());
-  io_bulk_poll (d->bulk);
   follower_set_wait (d->routes, routes_wait_ms (d));
   if (daemon_reloading ())
     io_log (IO_INFO, "reloaded", "id=%s changed=nothing", d->settings->id.s);
@@ -492,7 +464,6 @@
     .ip = s->ip,
     .data_port = (uint16_t)s->link_port,
     .control_port = (uint16_t)s->control_port,
-    .bulk_port = (uint16_t)s->bulk_port,
     .admin_port = s->http.port,
     .incarnation = io_wall_ms (),
     .seq = 1,
@@ -510,9 +481,6 @@
 open_sockets (struct dispatcher *d)
 {
   const struct settings *s = d->settings;
-  struct bl_addr bulk = { s->ip, (uint16_t)s->bulk_port };
-  static const struct io_bulk_ops bulk_ops
-      = { .request = bulk_request, .reply = bulk_reply };
 
   d->packets.dispatcher = d;
   d->links.dispatcher = d;
@@ -527,15 +495,14 @@
                           on_control)
              != 0)
     return -1;
-  d->bulk = io_bulk_new (d->loop, bulk, &bulk_ops, d);
   d->admin = admin_start (s->http.ip, s->http.port, &admin_ops, d);
-  if (d->bulk != NULL && d->admin != NULL)
+  if (d->admin != NULL)
     {
       admin_handle (d->admin, PLATFORM_READY_PATH "$", on_readiness);
+      admin_handle (d->admin, ROUTES_PATH "$", on_routes_request);
       return 0;
     }
-  io_log (IO_ERROR, "cannot_bind", "bulk_port=%lu http_port=%u", s->bulk_port,
-          s->http.port);
+  io_log (IO_ERROR, "cannot_bind", "http_port=%u", s->http.port);
   return -1;
 }
 
@@ -558,10 +525,12 @@
     .random_seed = s->random_seed + 1,
   };
 
+  d->puller = puller_start (ROUTES_PATH, on_pulled, d);
   d->registry = registry_start (s->store, s->random_seed + 2);
   d->routes = follower_start (&routes, on_routes_object, d);
   d->members = follower_start (&members, on_member_object, d);
-  if (d->registry == NULL || d->routes == NULL || d->members == NULL)
+  if (d->puller == NULL || d->registry == NULL || d->routes == NULL
+      || d->members == NULL)
     return -1;
   registry_publish (d->registry, &d->self);
   return 0;
@@ -570,11 +539,11 @@
 static void
 close_all (struct dispatcher *d)
 {
+  puller_stop (d->puller);
   follower_stop (d->routes);
   follower_stop (d->members);
   registry_stop (d->registry, false);
   admin_stop (d->admin);
-  io_bulk_free (d->bulk);
   for (size_t i = 0; i < 3; i++)
     {
       const struct dispatcher_socket *all[]
@@ -583,7 +552,6 @@
         close (all[i]->source.fd);
     }
   bl_dispatch_free (d->core);
-  bl_buffer_free (&d->buffer);
   decision_log_free (d->log);
   io_batch_free (d->batch);
   io_loop_free (d->loop);
