--- a/Makefile
+++ b/Makefile
@@ -14,6 +14,7 @@
 STACK   = $(B)/io/stack.o
 DAEMON  = $(patsubst %.c,$(B)/%.o,$(wildcard daemon/*.c))
 PLATFORM = $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
+EMULATOR = $(patsubst %.c,$(B)/%.o,$(wildcard emulator/*.c))
 CTL     = $(patsubst %.c,$(B)/%.o,$(wildcard ctl/*.c))
 TESTS   = $(patsubst test/%.c,$(B)/%,$(wildcard test/test_*.c))
 BENCHES = $(patsubst bench/%.c,$(B)/%,$(wildcard bench/bench_*.c))
@@ -57,7 +58,7 @@
 	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS)
 
 $(B)/test_%: $(B)/test/test_%.o $(FAKE) $(B)/test/flood.o $(B)/test/scenario.o \
-            $(B)/libboragelatch.a
+            $(EMULATOR) $(B)/libboragelatch.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS) -lcmocka
 
 $(B)/bench_%: $(B)/bench/bench_%.o $(IO) $(FAKE) $(B)/test/flood.o $(B)/bench/baseline.o \
@@ -72,7 +73,7 @@
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
 
 SOURCES = $(wildcard *.h core/*.[ch] io/*.[ch] daemon/*.[ch] ctl/*.[ch] \
-          platform/*.[ch] \
+          platform/*.[ch] emulator/*.[ch] \
           standin/*.[ch] test/*.[ch] bench/*.[ch] examples/*.[ch])
 
 packages:
--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -80,7 +80,7 @@
   uint64_t ms
       = HASH_COUNT (d->fleet.targets) * STATUS_BYTES * 1000 / STATUS_BYTES_S;
 
-  if (t->dark)
+  if (t->dark && !d->fleet.blind)
     return DARK_PING_MS;
   if (t->suspect)
     return SUSPECT_PING_MS;
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -5,7 +5,9 @@
    question, a ping or a flow's first packet, that stays open for
    BL_SUSPECT_MS puts its target behind the others; one that stays open for
    BL_DARK_MS makes it count as gone until it is heard again.  Both are undone
-   by a single message.  */
+   by a single message.  While more leave questions open than answer, this
+   process takes itself to be cut off; what was silent meanwhile proves nothing
+   afterwards, so all questions start anew.  */
 
 #include "core/fleet.h"
 
@@ -127,32 +129,62 @@
     target->asked_ms = now;
 }
 
+static void
+judge_target (struct bl_fleet *fleet, struct bl_target *t, uint64_t now)
+{
+  uint64_t open = t->asked_ms > 0 ? now - t->asked_ms : 0;
+
+  t->suspect = open > BL_SUSPECT_MS;
+  t->dark = open > BL_DARK_MS;
+  if (t->record.kind != BL_KIND_BACKEND || t->record.state >= BL_STATE_LEFT)
+    return;
+  fleet->backend_count++;
+  fleet->dark_count += t->dark ? 1 : 0;
+  fleet->suspect_count += t->suspect ? 1 : 0;
+  if (!t->suspect && t->heard_ms > 0 && now - t->heard_ms < BL_DARK_MS)
+    fleet->heard_count++;
+}
+
+/* After having been cut off, all silence so far is forgotten.  */
+static void
+regain_sight (struct bl_fleet *fleet, uint64_t now)
+{
+  struct bl_target *t;
+  struct bl_target *next;
+
+  HASH_ITER (hh, fleet->targets, t, next)
+  {
+    if (t->asked_ms > 0)
+      t->asked_ms = now;
+    t->suspect = false;
+    t->dark = false;
+  }
+  fleet->dark_count = 0;
+}
+
 void
 bl_fleet_judge (struct bl_fleet *fleet, uint64_t now)
 {
   struct bl_target *t;
   struct bl_target *next;
+  bool was_blind = fleet->blind;
 
   fleet->backend_count = 0;
   fleet->dark_count = 0;
+  fleet->suspect_count = 0;
+  fleet->heard_count = 0;
   HASH_ITER (hh, fleet->targets, t, next)
-  {
-    uint64_t open = t->asked_ms > 0 ? now - t->asked_ms : 0;
-    t->suspect = open > BL_SUSPECT_MS;
-    t->dark = open > BL_DARK_MS;
-    if (t->record.kind != BL_KIND_BACKEND || t->record.state >= BL_STATE_LEFT)
-      continue;
-    fleet->backend_count++;
-    fleet->dark_count += t->dark ? 1 : 0;
-  }
+  judge_target (fleet, t, now);
+  fleet->blind = fleet->suspect_count > fleet->heard_count;
+  if (was_blind && !fleet->blind)
+    regain_sight (fleet, now);
 }
 
 bool
 bl_fleet_sees (const struct bl_fleet *fleet)
 {
-  return fleet->dark_count * 2 <= fleet->backend_count;
+  return !fleet->blind;
 }
-
 struct bl_addr
 bl_target_data (const struct bl_target *target)
 {
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -39,7 +39,10 @@
   struct bl_store *store;    /* owned */
   struct bl_target *targets; /* owned; by name */
   size_t backend_count;
-  size_t dark_count; /* agents that count as gone */
+  size_t dark_count;    /* agents that count as gone */
+  size_t suspect_count; /* agents that leave a question open */
+  size_t heard_count;   /* agents heard within BL_DARK_MS, and not suspect */
+  bool blind;           /* too few answered at the last look */
 };
 
 int bl_fleet_init (struct bl_fleet *fleet);
@@ -59,8 +62,8 @@
 void bl_target_asked (struct bl_target *target, uint64_t now);
 /* Marks who has been silent for too long.  */
 void bl_fleet_judge (struct bl_fleet *fleet, uint64_t now);
-/* Whether silence tells of the others rather than of this process: at least
-   half of the agents still answer.  */
+/* Whether silence tells of the others rather than of this process: of the
+   agents that were lately asked, at least half answered.  */
 bool bl_fleet_sees (const struct bl_fleet *fleet);
 struct bl_addr bl_target_data (const struct bl_target *target);
 struct bl_addr bl_target_control (const struct bl_target *target);
--- /dev/null
+++ b/emulator/emulator.c
@@ -0,0 +1,931 @@
+/* emulator.c -- callers, routers, backend servers and a network round the real
+   core of balancers and agents, on passed-in time
+
+   Everything that happens is an event in one queue.  Messages take the delay
+   of the way they go; packets may be lost.  A packet's bytes are the decoded
+   packet itself, since the core passes bytes on unread.
+
+   Callers follow the platform's page: a first packet with copies after 200 and
+   600 ms, given up after 1.4 s; a request sent again while no answer comes;
+   tries on new ports while the deadline allows.  Backend servers accept what
+   they can, return what they do not hold, run so many requests at once, queue
+   a few more and turn away the rest.  */
+
+#include "emulator/emulator_inner.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define TICK_US      20000
+#define ROUTER_US    500000 /* between two looks at who is ready */
+#define HEARTBEAT_US 1200000
+#define STORE_US     30000 /* until a record has come through the store */
+#define START_US     50000 /* a process is up after */
+#define ROUTES_IP    0xc6120001u
+#define BALANCER_NET 0x0a000000u
+#define AGENT_NET    0x0a010000u
+#define CALLER_NET   0x64400000u
+#define DATA_PORT    1
+#define CONTROL_PORT 2
+#define FIRST_PORT   8000 /* of the first class */
+
+static uint64_t
+now_ms (const struct em *em)
+{
+  /* The core takes 0 for never.  */
+  return em->now_us / 1000 + 1;
+}
+
+double
+em_exponential (struct em *em, double mean)
+{
+  return -mean * log (1 - bl_random_unit (&em->random));
+}
+
+struct event *
+em_post (struct em *em,
+         double after_us,
+         void (*run) (void *ctx, struct event *event),
+         size_t index,
+         size_t len)
+{
+  struct event *e
+      = events_post (&em->events, em->now_us + (uint64_t)after_us, len);
+
+  e->run = run;
+  e->ctx = em;
+  e->index = index;
+  return e;
+}
+
+/* -- the network -- */
+
+enum em_port
+{
+  TO_DATA,
+  TO_CONTROL,
+};
+
+struct datagram
+{
+  struct bl_addr from;
+  enum em_port port;
+  struct bl_link link;
+  bool has_packet;
+  struct bl_packet packet;
+  size_t len;
+  uint8_t bytes[];
+};
+
+static double
+delay_us (struct em *em, unsigned from_dc, unsigned to_dc)
+{
+  double ms = from_dc == to_dc ? em->settings.near_ms : em->settings.far_ms;
+
+  if (from_dc == to_dc)
+    em->totals.near_packets++;
+  else
+    em->totals.far_packets++;
+  return 1000 * ms * (1 + 0.3 * bl_random_unit (&em->random));
+}
+
+static bool
+is_lost (struct em *em)
+{
+  return bl_random_below (&em->random, 10000) < em->settings.loss;
+}
+
+static bool
+is_up (const struct em *em, const struct em_process *p)
+{
+  return p->alive && em->now_us >= p->cut_until;
+}
+
+static void
+to_dispatch (struct em *em, struct em_balancer *b, const struct datagram *g)
+{
+  if (g->port == TO_DATA)
+    bl_dispatch_link (b->core, now_ms (em), g->from, &g->link,
+                      g->has_packet ? &g->packet : NULL,
+                      (const uint8_t *)&g->packet, sizeof g->packet);
+  else
+    bl_dispatch_message (b->core, now_ms (em), g->from, g->bytes, g->len);
+}
+
+static void
+to_pass (struct em *em, struct em_server *s, const struct datagram *g)
+{
+  if (g->port == TO_DATA)
+    bl_pass_link (s->core, now_ms (em), g->from, &g->link,
+                  g->has_packet ? &g->packet : NULL,
+                  (const uint8_t *)&g->packet, sizeof g->packet);
+  else
+    bl_pass_message (s->core, now_ms (em), g->from, g->bytes, g->len);
+}
+
+static void
+at_balancer (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_balancer *b = &em->balancers[e->index];
+
+  if (is_up (em, &b->process))
+    to_dispatch (em, b, (const struct datagram *)e->data);
+}
+
+static void
+at_agent (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_server *s = &em->servers[e->index];
+
+  if (is_up (em, &s->agent))
+    to_pass (em, s, (const struct datagram *)e->data);
+}
+
+/* Posts a datagram to the instance at TO, or drops it.  */
+static struct datagram *
+send_to (struct em *em,
+         const struct em_process *from,
+         struct bl_addr source,
+         struct bl_addr to,
+         size_t len)
+{
+  size_t index = to.ip & 0xffff;
+  bool is_agent = (to.ip & ~0xffffu) == AGENT_NET;
+  unsigned dc;
+  struct event *e;
+  struct datagram *g;
+
+  if (em->now_us < from->cut_until || is_lost (em)
+      || index >= (is_agent ? em->server_count : em->balancer_count))
+    return NULL;
+  dc = is_agent ? em->servers[index].agent.dc : em->balancers[index].process.dc;
+  e = em_post (em, delay_us (em, from->dc, dc),
+               is_agent ? at_agent : at_balancer, index, sizeof *g + len);
+  g = (struct datagram *)e->data;
+  g->from = source;
+  g->port = to.port == DATA_PORT ? TO_DATA : TO_CONTROL;
+  g->len = len;
+  return g;
+}
+
+static void
+send_link (struct em *em,
+           const struct em_process *from,
+           uint32_t ip,
+           struct bl_addr to,
+           const struct bl_link *link,
+           const uint8_t *packet,
+           size_t len)
+{
+  struct bl_addr source = { ip, DATA_PORT };
+  struct datagram *g = send_to (em, from, source, to, 0);
+
+  if (g == NULL)
+    return;
+  g->link = *link;
+  g->has_packet = len == sizeof g->packet;
+  if (g->has_packet)
+    memcpy (&g->packet, packet, len);
+}
+
+static void
+send_control (struct em *em,
+              const struct em_process *from,
+              uint32_t ip,
+              struct bl_addr to,
+              const uint8_t *buf,
+              size_t len)
+{
+  struct bl_addr source = { ip, CONTROL_PORT };
+  struct datagram *g = send_to (em, from, source, to, len);
+
+  if (g != NULL)
+    memcpy (g->bytes, buf, len);
+}
+
+/* -- balancers -- */
+
+static void
+balancer_to_agent (void *ctx,
+                   struct bl_addr to,
+                   const struct bl_link *link,
+                   const uint8_t *packet,
+                   size_t len)
+{
+  struct em_balancer *b = ctx;
+  send_link (b->em, &b->process, b->self.ip, to, link, packet, len);
+}
+
+static void
+balancer_reset (void *ctx, const struct bl_flow_key *key, uint32_t seq)
+{
+  struct em_balancer *b = ctx;
+
+  (void)seq;
+  if (b->em->now_us >= b->process.cut_until)
+    em_callers_reset (b->em, key, &b->process);
+}
+
+static void
+balancer_send (void *ctx, struct bl_addr to, const uint8_t *buf, size_t len)
+{
+  struct em_balancer *b = ctx;
+  send_control (b->em, &b->process, b->self.ip, to, buf, len);
+}
+
+/* Routes that a peer has: they arrive after a round trip.  */
+static void
+pulled (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_balancer *b = &em->balancers[e->index];
+
+  if (is_up (em, &b->process))
+    bl_dispatch_configure (b->core, now_ms (em), em_table (em));
+}
+
+static void
+balancer_pull (void *ctx, const struct bl_target *peer)
+{
+  struct em_balancer *b = ctx;
+
+  (void)peer;
+  em_post (b->em, 3000 * b->em->settings.far_ms, pulled, b->index, 0);
+}
+
+static void
+balancer_decided (void *ctx, const struct bl_decision *decision)
+{
+  struct em_balancer *b = ctx;
+  const struct bl_flow_key *k = decision->flow;
+
+  if (b->em->trace)
+    fprintf (stderr, "%8.3f %s %s why=%s flow=%x:%u target=%s age=%lu\n",
+             (double)b->em->now_us / 1e6, b->self.id.s, decision->what,
+             decision->why, k != NULL ? k->src_ip : 0,
+             k != NULL ? k->src_port : 0,
+             decision->target != NULL ? decision->target->id.s : "-",
+             decision->age_ms);
+}
+
+static const struct bl_dispatch_ops dispatch_ops = {
+  .to_agent = balancer_to_agent,
+  .reset = balancer_reset,
+  .send = balancer_send,
+  .pull = balancer_pull,
+  .decided = balancer_decided,
+};
+
+/* The store tells a balancer of all instances, if it is up.  */
+static void
+read_store (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_balancer *b = &em->balancers[e->index];
+
+  if (!b->process.alive || e->tag != b->process.generation)
+    return;
+  if (!em->store_up)
+    {
+      em_post (em, 10 * STORE_US, read_store, e->index, 0)->tag = e->tag;
+      return;
+    }
+  if (em->now_us >= b->process.cut_until)
+    {
+      bl_dispatch_configure (b->core, now_ms (em), em_table (em));
+      for (size_t i = 0; i < em->balancer_count; i++)
+        bl_dispatch_learn (b->core, now_ms (em), &em->balancers[i].self);
+      for (size_t i = 0; i < em->server_count; i++)
+        if (em->servers[i].published.seq > 0)
+          bl_dispatch_learn (b->core, now_ms (em), &em->servers[i].published);
+    }
+  em_post (em, 10 * STORE_US, read_store, e->index, 0)->tag = e->tag;
+}
+
+static void
+tick_balancer (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_balancer *b = &em->balancers[e->index];
+
+  if (!b->process.alive || e->tag != b->process.generation)
+    return;
+  bl_dispatch_tick (b->core, now_ms (em));
+  em_post (em, TICK_US, tick_balancer, e->index, 0)->tag = e->tag;
+}
+
+static void
+start_balancer (struct em *em, size_t index)
+{
+  struct em_balancer *b = &em->balancers[index];
+  struct bl_dispatch_settings settings
+      = { .random_seed = bl_random_next (&em->random) };
+
+  b->process.alive = true;
+  b->process.generation++;
+  b->self.incarnation = em->now_us / 1000 + 1;
+  b->self.seq = 1;
+  settings.self = b->self;
+  settings.seed_count = em->balancer_count < 3 ? em->balancer_count : 3;
+  for (size_t i = 0; i < settings.seed_count; i++)
+    settings.seeds[i]
+        = (struct bl_addr){ em->balancers[i].self.ip, CONTROL_PORT };
+  bl_dispatch_free (b->core);
+  b->core = bl_dispatch_new (&settings, &dispatch_ops, b);
+  em_post (em, STORE_US, read_store, index, 0)->tag = b->process.generation;
+  em_post (em, 1, tick_balancer, index, 0)->tag = b->process.generation;
+}
+
+static void
+restart_balancer (void *ctx, struct event *e)
+{
+  start_balancer (ctx, e->index);
+}
+
+size_t
+em_add_balancer (struct em *em, unsigned dc)
+{
+  size_t index = em->balancer_count++;
+  struct em_balancer *b = &em->balancers[index];
+  char name[32];
+
+  b->em = em;
+  b->index = index;
+  b->process.dc = dc;
+  b->self = (struct bl_record){
+    .kind = BL_KIND_MEMBER,
+    .state = BL_STATE_READY,
+    .ip = BALANCER_NET | (uint32_t)index,
+    .data_port = DATA_PORT,
+    .control_port = CONTROL_PORT,
+    .admin_port = 3,
+  };
+  snprintf (name, sizeof name, "balancer-%zu", index);
+  bl_name_set (&b->self.id, bl_str_of (name));
+  b->self.dc = em->dc_names[dc];
+  start_balancer (em, index);
+  return index;
+}
+
+/* -- routers -- */
+
+static void
+watch_ready (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+
+  (void)e;
+  for (size_t i = 0; i < em->balancer_count; i++)
+    {
+      struct em_balancer *b = &em->balancers[i];
+      bool ready = is_up (em, &b->process) && bl_dispatch_ready (b->core);
+      b->misses = ready ? 0 : b->misses + 1;
+    }
+  em_post (em, ROUTER_US, watch_ready, 0, 0);
+}
+
+/* The balancer that a packet goes to: by its hash among those in rotation,
+   in the own data centre first.  */
+static struct em_balancer *
+route (struct em *em, const struct bl_flow_key *key, unsigned dc)
+{
+  struct em_balancer *best = NULL;
+  uint64_t best_score = 0;
+
+  for (size_t i = 0; i < em->balancer_count; i++)
+    {
+      struct em_balancer *b = &em->balancers[i];
+      uint64_t score = bl_name_hash (&b->self.id, bl_flow_hash (key)) >> 2;
+      if (b->process.dc == dc)
+        score |= 1ull << 62;
+      if (b->misses < 2)
+        score |= 1ull << 63;
+      if (best == NULL || score > best_score)
+        {
+          best = b;
+          best_score = score;
+        }
+    }
+  return best;
+}
+
+static void
+packet_at_balancer (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_balancer *b = &em->balancers[e->index];
+
+  if (is_up (em, &b->process))
+    bl_dispatch_packet (b->core, now_ms (em), (const struct bl_packet *)e->data,
+                        e->data, e->len);
+}
+
+void
+em_from_caller (struct em *em, unsigned dc, const struct bl_packet *packet)
+{
+  struct em_balancer *b = route (em, &packet->key, dc);
+  struct event *e;
+
+  if (b == NULL || is_lost (em))
+    return;
+  e = em_post (em, 1000 * em->settings.caller_ms, packet_at_balancer, b->index,
+               sizeof *packet);
+  memcpy (e->data, packet, sizeof *packet);
+}
+
+/* -- agents -- */
+
+static void
+agent_deliver (void *ctx, const uint8_t *packet, size_t len, uint32_t token)
+{
+  struct em_server *s = ctx;
+
+  (void)len;
+  em_server_packet (s, (const struct bl_packet *)packet, token);
+}
+
+static void
+agent_answer (void *ctx, uint32_t ip, const uint8_t *packet, size_t len)
+{
+  struct em_server *s = ctx;
+
+  (void)ip;
+  (void)len;
+  if (s->em->now_us >= s->agent.cut_until && !is_lost (s->em))
+    em_callers_packet (s->em, s, (const struct bl_packet *)packet);
+}
+
+static void
+agent_to_balancer (void *ctx,
+                   struct bl_addr to,
+                   const struct bl_link *link,
+                   const uint8_t *packet,
+                   size_t len)
+{
+  struct em_server *s = ctx;
+  send_link (s->em, &s->agent, s->ip, to, link, packet, len);
+}
+
+static void
+agent_send (void *ctx, struct bl_addr to, const uint8_t *buf, size_t len)
+{
+  struct em_server *s = ctx;
+  send_control (s->em, &s->agent, s->ip, to, buf, len);
+}
+
+static void
+checked (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_server *s = &em->servers[e->index];
+
+  if (s->agent.alive)
+    bl_pass_checked (s->core, now_ms (em), s->alive);
+}
+
+static void
+agent_check (void *ctx)
+{
+  struct em_server *s = ctx;
+  em_post (s->em, 200, checked, s->index, 0);
+}
+
+static void
+agent_publish (void *ctx, const struct bl_record *record)
+{
+  struct em_server *s = ctx;
+
+  if (s->em->store_up && s->em->now_us >= s->agent.cut_until)
+    s->published = *record;
+}
+
+static void
+agent_decided (void *ctx,
+               const char *what,
+               const char *why,
+               const struct bl_flow_key *flow,
+               uint64_t age_ms)
+{
+  struct em_server *s = ctx;
+
+  if (s->em->trace)
+    fprintf (stderr, "%8.3f server-%zu %s why=%s flow=%x:%u age=%lu\n",
+             (double)s->em->now_us / 1e6, s->index, what, why,
+             flow != NULL ? flow->src_ip : 0, flow != NULL ? flow->src_port : 0,
+             age_ms);
+}
+
+static const struct bl_pass_ops pass_ops = {
+  .deliver = agent_deliver,
+  .answer = agent_answer,
+  .to_balancer = agent_to_balancer,
+  .send = agent_send,
+  .check = agent_check,
+  .publish = agent_publish,
+  .decided = agent_decided,
+};
+
+static void
+tick_agent (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_server *s = &em->servers[e->index];
+
+  if (!s->agent.alive || e->tag != s->agent.generation)
+    return;
+  bl_pass_tick (s->core, now_ms (em));
+  em_post (em, TICK_US, tick_agent, e->index, 0)->tag = e->tag;
+}
+
+static void
+start_agent (struct em *em, size_t index)
+{
+  struct em_server *s = &em->servers[index];
+  struct bl_pass_settings settings = {
+    .self = {
+      .kind = BL_KIND_BACKEND,
+      .dc = em->dc_names[s->agent.dc],
+      .service = em->service_names[s->service],
+      .ip = s->ip,
+      .data_port = DATA_PORT,
+      .control_port = CONTROL_PORT,
+      .incarnation = em->now_us / 1000 + 1,
+    },
+    .heartbeat_ms = HEARTBEAT_US / 1000,
+  };
+  char name[32];
+
+  snprintf (name, sizeof name, "agent-%zu", index);
+  bl_name_set (&settings.self.id, bl_str_of (name));
+  settings.seed_count = em->balancer_count < 3 ? em->balancer_count : 3;
+  for (size_t i = 0; i < settings.seed_count; i++)
+    settings.seeds[i]
+        = (struct bl_addr){ em->balancers[i].self.ip, CONTROL_PORT };
+  s->agent.alive = true;
+  s->agent.generation++;
+  bl_pass_free (s->core);
+  s->core = bl_pass_new (&settings, &pass_ops, s);
+  em_post (em, 1, tick_agent, index, 0)->tag = s->agent.generation;
+}
+
+static void
+restart_agent (void *ctx, struct event *e)
+{
+  start_agent (ctx, e->index);
+}
+
+void
+em_server_outgoing (struct em_server *s,
+                    const struct bl_packet *packet,
+                    bool returned,
+                    uint32_t token)
+{
+  uint64_t now = now_ms (s->em);
+
+  if (!s->agent.alive)
+    return;
+  if (returned)
+    bl_pass_returned (s->core, now, packet, token, (const uint8_t *)packet,
+                      sizeof *packet);
+  else
+    bl_pass_outgoing (s->core, now, packet, (const uint8_t *)packet,
+                      sizeof *packet);
+}
+
+static void
+heartbeat (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_server *s = &em->servers[e->index];
+  struct bl_heartbeat beat = {
+    .service = em->service_names[s->service],
+    .draining = s->draining,
+    .slots = em->settings.services[s->service].slots,
+    .born = s->born,
+    .seq = ++s->beats,
+  };
+  char name[48];
+
+  if (!s->alive || e->tag != s->generation)
+    return;
+  snprintf (name, sizeof name, "server-%zu", s->index);
+  bl_name_set (&beat.id, bl_str_of (name));
+  if (s->agent.alive)
+    {
+      bl_pass_heartbeat (s->core, now_ms (em), &beat);
+      if (s->draining && s->drained_us == 0)
+        s->drained_us = em->now_us;
+    }
+  em_post (em, HEARTBEAT_US, heartbeat, e->index, 0)->tag = e->tag;
+}
+
+static void
+start_server (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_server *s = &em->servers[e->index];
+
+  s->alive = true;
+  s->generation++;
+  s->born = em->now_us / 1000 + 1;
+  s->beats = 0;
+  s->draining = false;
+  s->drained_us = 0;
+  em_post (
+      em, bl_random_unit (&em->random) * (s->generation > 1 ? 1 : HEARTBEAT_US),
+      heartbeat, e->index, 0)
+      ->tag
+      = s->generation;
+}
+
+size_t
+em_add_server (struct em *em, unsigned service, unsigned dc)
+{
+  size_t index = em->server_count++;
+  struct em_server *s = &em->servers[index];
+
+  s->em = em;
+  s->index = index;
+  s->service = service;
+  s->agent.dc = dc;
+  s->slowness = 1;
+  s->ip = AGENT_NET | (uint32_t)index;
+  start_server (em, &(struct event){ .index = index });
+  start_agent (em, index);
+  return index;
+}
+
+/* -- routes -- */
+
+struct bl_table *
+em_table (struct em *em)
+{
+  struct bl_table *table = bl_table_new (em->settings.class_count);
+
+  if (table == NULL)
+    return NULL;
+  table->version = em->routes_version;
+  table->idle_ms = 15000;
+  for (size_t i = 0; i < em->settings.class_count; i++)
+    {
+      const struct em_class *c = &em->settings.classes[i];
+      struct bl_table_route *r = &table->routes[table->count];
+      if (i == em->dropped)
+        continue;
+      table->count++;
+      r->ip = ROUTES_IP;
+      r->port = (uint16_t)(FIRST_PORT + i);
+      r->repeatable = c->repeatable;
+      r->priority = (uint8_t)i;
+      r->target_ms = c->aim_ms;
+      r->deadline_ms = c->deadline_ms;
+      r->split_count = 1;
+      r->splits[0].service = em->service_names[c->service];
+      r->splits[0].service_hash = bl_name_hash (&r->splits[0].service, 0);
+      r->splits[0].weight = 1;
+    }
+  bl_table_sort (table);
+  return table;
+}
+
+struct bl_flow_key
+em_key (const struct em *em, size_t user, unsigned class, uint16_t port)
+{
+  (void)em;
+  return (struct bl_flow_key){
+    .src_ip = CALLER_NET + (uint32_t)user,
+    .dst_ip = ROUTES_IP,
+    .src_port = port,
+    .dst_port = (uint16_t)(FIRST_PORT + class),
+  };
+}
+
+size_t
+em_user_of (const struct bl_flow_key *key)
+{
+  return key->src_ip - CALLER_NET;
+}
+
+/* -- life -- */
+
+static void
+name_things (struct em *em)
+{
+  char name[32];
+
+  for (unsigned i = 0; i < em->settings.dcs; i++)
+    {
+      snprintf (name, sizeof name, "dc%u", i);
+      bl_name_set (&em->dc_names[i], bl_str_of (name));
+    }
+  for (size_t i = 0; i < em->settings.service_count; i++)
+    bl_name_set (&em->service_names[i],
+                 bl_str_of (em->settings.services[i].name));
+}
+
+struct em *
+em_new (const struct em_settings *settings)
+{
+  struct em *em = calloc (1, sizeof *em);
+
+  if (em == NULL)
+    return NULL;
+  em->settings = *settings;
+  em->random.state = settings->seed;
+  em->store_up = true;
+  em->routes_version = 1;
+  em->dropped = EM_CLASSES_MAX;
+  em->pressure = 1;
+  em->trace = getenv ("EM_TRACE") != NULL;
+  name_things (em);
+  for (unsigned dc = 0; dc < settings->dcs; dc++)
+    {
+      for (size_t s = 0; s < settings->service_count; s++)
+        for (unsigned i = 0; i < settings->services[s].servers[dc]; i++)
+          em_add_server (em, (unsigned)s, dc);
+      for (unsigned i = 0; i < settings->balancers[dc]; i++)
+        em_add_balancer (em, dc);
+    }
+  em_post (em, 1, watch_ready, 0, 0);
+  em_callers_start (em);
+  return em;
+}
+
+void
+em_free (struct em *em)
+{
+  if (em == NULL)
+    return;
+  events_clear (&em->events);
+  for (size_t i = 0; i < em->balancer_count; i++)
+    bl_dispatch_free (em->balancers[i].core);
+  for (size_t i = 0; i < em->server_count; i++)
+    {
+      bl_pass_free (em->servers[i].core);
+      em_server_clear (&em->servers[i]);
+    }
+  free (em->users);
+  free (em);
+}
+
+void
+em_run (struct em *em, uint64_t time_ms)
+{
+  struct event *e;
+
+  while ((e = events_take (&em->events, time_ms * 1000)) != NULL)
+    {
+      em->now_us = e->at_us;
+      e->run (e->ctx, e);
+      free (e);
+    }
+  em->now_us = time_ms * 1000;
+}
+
+uint64_t
+em_now (const struct em *em)
+{
+  return em->now_us / 1000;
+}
+
+const struct em_totals *
+em_totals (const struct em *em)
+{
+  return &em->totals;
+}
+
+void
+em_reset_totals (struct em *em)
+{
+  memset (&em->totals, 0, sizeof em->totals);
+}
+
+size_t
+em_balancer_count (const struct em *em)
+{
+  return em->balancer_count;
+}
+
+size_t
+em_server_count (const struct em *em)
+{
+  return em->server_count;
+}
+
+struct bl_dispatch *
+em_dispatch (struct em *em, size_t balancer)
+{
+  return em->balancers[balancer].core;
+}
+
+struct bl_pass *
+em_pass (struct em *em, size_t server)
+{
+  return em->servers[server].core;
+}
+
+uint64_t
+em_server_runs (const struct em *em, size_t server)
+{
+  return em->servers[server].runs;
+}
+
+uint64_t
+em_server_opened (const struct em *em, size_t server)
+{
+  return em->servers[server].opened;
+}
+
+/* -- faults and planned work -- */
+
+void
+em_kill_balancer (struct em *em, size_t balancer, uint64_t down_ms)
+{
+  em->balancers[balancer].process.alive = false;
+  em_post (em, (double)down_ms * 1000 + START_US, restart_balancer, balancer,
+           0);
+}
+
+void
+em_kill_agent (struct em *em, size_t server, uint64_t down_ms)
+{
+  em->servers[server].agent.alive = false;
+  em_post (em, (double)down_ms * 1000 + START_US, restart_agent, server, 0);
+}
+
+void
+em_stop_agent (struct em *em, size_t server, uint64_t down_ms)
+{
+  bl_pass_stop (em->servers[server].core, now_ms (em));
+  em_kill_agent (em, server, down_ms);
+}
+
+void
+em_crash_server (struct em *em, size_t server, uint64_t down_ms)
+{
+  struct em_server *s = &em->servers[server];
+
+  s->alive = false;
+  em_server_clear (s);
+  if (down_ms > 0)
+    em_post (em, (double)down_ms * 1000, start_server, server, 0);
+}
+
+static uint64_t
+cut_end (const struct em *em, uint64_t for_ms)
+{
+  return for_ms > 0 ? em->now_us + for_ms * 1000 : UINT64_MAX;
+}
+
+void
+em_cut_server (struct em *em, size_t server, uint64_t for_ms)
+{
+  em->servers[server].agent.cut_until = cut_end (em, for_ms);
+}
+
+void
+em_cut_balancer (struct em *em, size_t balancer, uint64_t for_ms)
+{
+  em->balancers[balancer].process.cut_until = cut_end (em, for_ms);
+}
+
+void
+em_drain_server (struct em *em, size_t server)
+{
+  struct em_server *s = &em->servers[server];
+
+  s->draining = true;
+  heartbeat (em, &(struct event){ .index = server, .tag = s->generation });
+}
+
+void
+em_store (struct em *em, bool up)
+{
+  em->store_up = up;
+  for (size_t i = 0; up && i < em->server_count; i++)
+    if (em->servers[i].agent.alive)
+      em->servers[i].published = *bl_pass_record (em->servers[i].core);
+}
+
+void
+em_press (struct em *em, double factor)
+{
+  em->pressure = factor;
+}
+
+void
+em_configure (struct em *em, uint64_t version, size_t dropped)
+{
+  em->routes_version = version;
+  em->dropped = dropped;
+}
+
+void
+em_slow_server (struct em *em, size_t server, double slowness)
+{
+  em->servers[server].slowness = slowness;
+}
--- a/emulator/emulator.h
+++ b/emulator/emulator.h
@@ -28,10 +28,10 @@
   unsigned service; /* index */
   enum em_habit habit;
   bool repeatable;
-  unsigned users;      /* in each data centre */
-  double pause_ms;     /* mean, between an answer and the next request */
-  double work_ms;      /* mean */
-  unsigned aim_ms;     /* answers within it are in time */
+  unsigned users;  /* in each data centre */
+  double pause_ms; /* mean, between an answer and the next request */
+  double work_ms;  /* mean */
+  unsigned aim_ms; /* answers within it are in time */
   unsigned deadline_ms;
   unsigned retries;
 };
@@ -64,21 +64,21 @@
   uint64_t asked;
   uint64_t in_time;
   uint64_t late;
-  uint64_t failed;   /* no answer by the deadline */
-  uint64_t refused;  /* reset or turned away, no try left */
+  uint64_t failed;  /* no answer by the deadline */
+  uint64_t refused; /* reset or turned away, no try left */
 };
 
 struct em_totals
 {
   struct em_outcome classes[EM_CLASSES_MAX];
   struct em_outcome seconds[EM_BUCKETS_MAX];
-  uint64_t broken;        /* flows reset though their backend server held them */
-  uint64_t twice;         /* requests that ran more than once and may not */
+  uint64_t broken; /* flows reset though their backend server held them */
+  uint64_t twice;  /* requests that ran more than once and may not */
   uint64_t wrong_service; /* first packets that reached another service */
   uint64_t after_drain;   /* first packets taken by a server told to drain */
   uint64_t far_packets;   /* between data centres */
   uint64_t near_packets;
-  uint64_t stray;         /* packets at backend servers that hold no such flow */
+  uint64_t stray; /* packets at backend servers that hold no such flow */
 };
 
 struct em;
--- /dev/null
+++ b/emulator/emulator_callers.c
@@ -0,0 +1,349 @@
+/* emulator_callers.c -- callers: requests, pauses, deadlines, further tries  */
+
+#include "emulator/emulator_inner.h"
+
+#include <stdlib.h>
+
+#define GIVE_UP_US   1400000 /* a first packet without an answer */
+#define AGAIN_US     200000  /* until a request is sent again; doubles */
+#define AGAIN_MAX_US 1600000
+#define PORT_FIRST   1024
+
+static void next_request (struct em *em, size_t index);
+
+static const struct em_class *
+class_of (const struct em *em, const struct em_user *u)
+{
+  return &em->settings.classes[u->class];
+}
+
+static struct event *
+post_step (struct em *em,
+           size_t index,
+           double after_us,
+           void (*run) (void *ctx, struct event *event))
+{
+  struct event *e = em_post (em, after_us, run, index, 0);
+
+  e->tag = em->users[index].step;
+  return e;
+}
+
+static void
+send (struct em *em, size_t index, uint8_t flags, uint16_t len)
+{
+  const struct em_user *u = &em->users[index];
+  struct bl_packet packet = {
+    .key = em_key (em, index, u->class, u->port),
+    .seq = u->seq,
+    .ack = flags & BL_TCP_SYN ? 0 : u->ack,
+    .flags = flags,
+    .payload_len = len,
+  };
+
+  em_from_caller (em, u->dc, &packet);
+}
+
+/* -- outcomes -- */
+
+static void
+wake (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+
+  if (em->users[e->index].step == e->tag)
+    next_request (em, e->index);
+}
+
+static void
+rest (struct em *em, size_t index)
+{
+  struct em_user *u = &em->users[index];
+  double pause = class_of (em, u)->pause_ms * 1000 / em->pressure;
+
+  u->state = EM_PAUSING;
+  u->step++;
+  post_step (em, index, em_exponential (em, pause), wake);
+}
+
+static struct em_outcome *
+second_of (struct em *em, const struct em_user *u)
+{
+  uint64_t second = u->asked_us / 1000000;
+  return second < EM_BUCKETS_MAX ? &em->totals.seconds[second] : NULL;
+}
+
+enum result
+{
+  IN_TIME,
+  LATE,
+  FAILED,
+  REFUSED,
+};
+
+static void
+conclude (struct em *em, size_t index, enum result result)
+{
+  struct em_user *u = &em->users[index];
+  struct em_outcome *all[2]
+      = { &em->totals.classes[u->class], second_of (em, u) };
+
+  for (int i = 0; i < 2; i++)
+    {
+      if (all[i] == NULL)
+        continue;
+      all[i]->asked++;
+      all[i]->in_time += result == IN_TIME;
+      all[i]->late += result == LATE;
+      all[i]->failed += result == FAILED;
+      all[i]->refused += result == REFUSED;
+    }
+  rest (em, index);
+}
+
+/* -- tries -- */
+
+static void again (void *ctx, struct event *e);
+
+static void
+send_request (struct em *em, size_t index, double wait_us)
+{
+  send (em, index, BL_TCP_ACK, 900);
+  post_step (em, index, wait_us, again);
+  em->users[index].ran = true;
+}
+
+static void
+again (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_user *u = &em->users[e->index];
+  uint64_t waited = em->now_us - u->asked_us;
+
+  if (u->step != e->tag || u->state != EM_WAITING)
+    return;
+  send_request (em, e->index,
+                waited < AGAIN_US
+                    ? AGAIN_US
+                    : (waited < AGAIN_MAX_US ? (double)waited : AGAIN_MAX_US));
+}
+
+static void
+repeat_first (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  const struct em_user *u = &em->users[e->index];
+
+  if (u->step == e->tag && u->state == EM_OPENING)
+    send (em, e->index, BL_TCP_SYN, 0);
+}
+
+static void try_again (struct em *em, size_t index, enum result result);
+
+static void
+give_up_first (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_user *u = &em->users[e->index];
+
+  if (u->step == e->tag && u->state == EM_OPENING)
+    try_again (em, e->index, FAILED);
+}
+
+static void
+open_flow (struct em *em, size_t index)
+{
+  struct em_user *u = &em->users[index];
+
+  u->step++;
+  u->state = EM_OPENING;
+  u->flow_open = false;
+  u->port = u->port < PORT_FIRST || u->port == UINT16_MAX
+                ? PORT_FIRST
+                : (uint16_t)(u->port + 1);
+  u->seq = (uint32_t)bl_random_next (&em->random);
+  send (em, index, BL_TCP_SYN, 0);
+  post_step (em, index, 200000, repeat_first);
+  post_step (em, index, 600000, repeat_first);
+  post_step (em, index, GIVE_UP_US, give_up_first);
+}
+
+static void
+ask (struct em *em, size_t index)
+{
+  struct em_user *u = &em->users[index];
+
+  u->step++;
+  u->state = EM_WAITING;
+  send_request (em, index, AGAIN_US);
+}
+
+static void
+deadline (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_user *u = &em->users[e->index];
+
+  if (u->request != e->tag || u->state == EM_PAUSING)
+    return;
+  if (u->flow_open)
+    send (em, e->index, BL_TCP_RST, 0);
+  u->flow_open = false;
+  conclude (em, e->index, FAILED);
+}
+
+static void
+try_again (struct em *em, size_t index, enum result result)
+{
+  struct em_user *u = &em->users[index];
+  const struct em_class *c = class_of (em, u);
+
+  u->flow_open = false;
+  if (u->tries++ >= c->retries || (u->ran && !c->repeatable))
+    {
+      conclude (em, index, result);
+      return;
+    }
+  open_flow (em, index);
+}
+
+static void
+next_request (struct em *em, size_t index)
+{
+  struct em_user *u = &em->users[index];
+  struct event *e;
+
+  u->asked_us = em->now_us;
+  u->request++;
+  u->tries = 0;
+  u->ran = false;
+  e = em_post (em, 1000.0 * class_of (em, u)->deadline_ms, deadline, index, 0);
+  e->tag = u->request;
+  if (u->flow_open)
+    ask (em, index);
+  else
+    open_flow (em, index);
+}
+
+/* -- what reaches callers -- */
+
+static void
+on_accepted (struct em *em, size_t index, const struct bl_packet *p)
+{
+  struct em_user *u = &em->users[index];
+
+  if (u->state != EM_OPENING || p->ack != u->seq + 1)
+    return;
+  u->flow_open = true;
+  u->seq++;
+  u->ack = p->seq + 1;
+  ask (em, index);
+}
+
+static void
+on_answer (struct em *em, size_t index, const struct bl_packet *p)
+{
+  struct em_user *u = &em->users[index];
+  const struct em_class *c = class_of (em, u);
+  uint64_t took_ms = (em->now_us - u->asked_us) / 1000;
+
+  if (u->state != EM_WAITING || p->ack != u->seq + 1)
+    return;
+  u->seq++;
+  if (p->flags & BL_TCP_FIN)
+    {
+      /* Turned away, and said not to have run.  */
+      u->ran = false;
+      try_again (em, index, REFUSED);
+      return;
+    }
+  if (c->habit == EM_FRESH)
+    {
+      send (em, index, BL_TCP_ACK | BL_TCP_FIN, 0);
+      u->flow_open = false;
+    }
+  conclude (em, index, took_ms <= c->aim_ms ? IN_TIME : LATE);
+}
+
+static void
+on_reset (struct em *em, size_t index, const struct bl_packet *p)
+{
+  struct em_user *u = &em->users[index];
+
+  if (u->flow_open && em_server_holds (em, &p->key))
+    em->totals.broken++;
+  u->flow_open = false;
+  if (u->state != EM_PAUSING)
+    try_again (em, index, REFUSED);
+}
+
+static void
+at_caller (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  const struct bl_packet *p = (const struct bl_packet *)e->data;
+  const struct em_user *u = &em->users[e->index];
+
+  /* A packet of a flow that the caller has left.  */
+  if (p->key.src_port != u->port)
+    return;
+  if (p->flags & BL_TCP_RST)
+    on_reset (em, e->index, p);
+  else if (p->flags & BL_TCP_SYN)
+    on_accepted (em, e->index, p);
+  else if (p->payload_len > 0)
+    on_answer (em, e->index, p);
+}
+
+static void
+post_packet (struct em *em, unsigned from_dc, const struct bl_packet *packet)
+{
+  size_t index = em_user_of (&packet->key);
+  double ms = em->settings.caller_ms;
+  struct event *e;
+
+  if (index >= em->user_count)
+    return;
+  if (from_dc != em->users[index].dc)
+    ms += em->settings.far_ms;
+  e = em_post (em, 1000 * ms, at_caller, index, sizeof *packet);
+  *(struct bl_packet *)e->data = *packet;
+}
+
+void
+em_callers_packet (struct em *em,
+                   const struct em_server *from,
+                   const struct bl_packet *packet)
+{
+  post_packet (em, from->agent.dc, packet);
+}
+
+void
+em_callers_reset (struct em *em,
+                  const struct bl_flow_key *key,
+                  const struct em_process *from)
+{
+  struct bl_packet packet = { .key = *key, .flags = BL_TCP_RST };
+
+  post_packet (em, from->dc, &packet);
+}
+
+void
+em_callers_start (struct em *em)
+{
+  size_t at = 0;
+
+  for (size_t i = 0; i < em->settings.class_count; i++)
+    em->user_count += (size_t)em->settings.classes[i].users * em->settings.dcs;
+  em->users = calloc (em->user_count + 1, sizeof *em->users);
+  if (em->users == NULL)
+    abort ();
+  for (unsigned dc = 0; dc < em->settings.dcs; dc++)
+    for (unsigned c = 0; c < em->settings.class_count; c++)
+      for (unsigned i = 0; i < em->settings.classes[c].users; i++)
+        {
+          em->users[at] = (struct em_user){ .class = c, .dc = dc };
+          em->users[at].port = (uint16_t)(PORT_FIRST + at % 1000);
+          rest (em, at++);
+        }
+}
--- /dev/null
+++ b/emulator/emulator_server.c
@@ -0,0 +1,234 @@
+/* emulator_server.c -- a backend server: flows, slots, a short queue  */
+
+#include "emulator/emulator_inner.h"
+
+#include <stdlib.h>
+
+#define HANDSHAKE_US 300
+#define COLD_US      2000000 /* slow for so long after a start */
+#define COLD_FACTOR  1.6
+#define DRAIN_US     3000000    /* after which nothing new may come */
+#define TURNED_AWAY  BL_TCP_FIN /* marks an answer that says "not run" */
+
+struct em_held
+{
+  struct bl_flow_key key;
+  uint32_t iss;
+  uint32_t done;    /* end of the last request that ran, as acknowledged */
+  uint32_t running; /* sequence number of the one that runs; 0: none */
+  bool open;
+  UT_hash_handle hh;
+};
+
+static struct em_held *
+find (const struct em_server *s, const struct bl_flow_key *key)
+{
+  struct em_held *f;
+
+  HASH_FIND (hh, s->flows, key, sizeof *key, f);
+  return f;
+}
+
+void
+em_server_clear (struct em_server *s)
+{
+  struct em_held *f;
+  struct em_held *next;
+
+  HASH_ITER (hh, s->flows, f, next)
+  {
+    HASH_DEL (s->flows, f);
+    free (f);
+  }
+  s->running = 0;
+  s->queued = 0;
+}
+
+bool
+em_server_holds (const struct em *em, const struct bl_flow_key *key)
+{
+  for (size_t i = 0; i < em->server_count; i++)
+    {
+      const struct em_server *s = &em->servers[i];
+      const struct em_held *f = s->alive ? find (s, key) : NULL;
+      if (f != NULL && f->open && em->now_us >= s->agent.cut_until)
+        return true;
+    }
+  return false;
+}
+
+static void
+answer (struct em_server *s,
+        const struct em_held *f,
+        uint8_t flags,
+        uint16_t len)
+{
+  struct bl_packet packet = {
+    .key = f->key,
+    .seq = f->iss + 1,
+    .ack = f->done,
+    .flags = flags,
+    .payload_len = len,
+  };
+
+  em_server_outgoing (s, &packet, false, 0);
+}
+
+static void start_next (struct em_server *s);
+
+static void
+finish (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_server *s = &em->servers[e->index];
+  const struct em_job *job = (const struct em_job *)e->data;
+  struct em_held *f;
+
+  if (!s->alive || e->tag != s->generation)
+    return;
+  s->running--;
+  f = find (s, &job->key);
+  if (f != NULL && f->running == job->request)
+    {
+      f->running = 0;
+      f->done = job->request + 1;
+      answer (s, f, BL_TCP_ACK, 1000);
+    }
+  start_next (s);
+}
+
+static void
+run_job (struct em_server *s, const struct em_job *job)
+{
+  const struct em_class *c
+      = &s->em->settings.classes[s->em->users[em_user_of (&job->key)].class];
+  uint64_t age_us = s->em->now_us - s->born * 1000;
+  double us = 1000 * c->work_ms * s->slowness
+              * (0.6 + 0.8 * bl_random_unit (&s->em->random));
+  struct event *e;
+
+  if (s->generation > 1 && age_us < COLD_US)
+    us *= COLD_FACTOR;
+  s->running++;
+  s->runs++;
+  e = em_post (s->em, us, finish, s->index, sizeof *job);
+  e->tag = s->generation;
+  *(struct em_job *)e->data = *job;
+}
+
+static void
+start_next (struct em_server *s)
+{
+  struct em_job job;
+
+  if (s->queued == 0)
+    return;
+  job = s->queue[0];
+  s->queued--;
+  for (unsigned i = 0; i < s->queued; i++)
+    s->queue[i] = s->queue[i + 1];
+  run_job (s, &job);
+}
+
+static void
+on_request (struct em_server *s, struct em_held *f, const struct bl_packet *p)
+{
+  const struct em_service *service = &s->em->settings.services[s->service];
+  struct em_job job = { .key = p->key, .request = p->seq };
+
+  if (f->running == p->seq)
+    return;
+  if (f->done == p->seq + 1)
+    {
+      answer (s, f, BL_TCP_ACK, 1000);
+      return;
+    }
+  if (s->running >= service->slots && s->queued >= service->queue)
+    {
+      f->done = p->seq + 1;
+      answer (s, f, BL_TCP_ACK | TURNED_AWAY, 100);
+      return;
+    }
+  f->running = p->seq;
+  if (s->running < service->slots)
+    run_job (s, &job);
+  else
+    s->queue[s->queued++] = job;
+}
+
+static void
+check_first (struct em_server *s, const struct bl_packet *p)
+{
+  const struct em *em = s->em;
+  unsigned class = em->users[em_user_of (&p->key)].class;
+
+  if (em->settings.classes[class].service != s->service)
+    s->em->totals.wrong_service++;
+  if (s->drained_us != 0 && em->now_us > s->drained_us + DRAIN_US)
+    s->em->totals.after_drain++;
+}
+
+static void
+accept_flow (void *ctx, struct event *e)
+{
+  struct em *em = ctx;
+  struct em_server *s = &em->servers[e->index];
+  const struct bl_packet *p = (const struct bl_packet *)e->data;
+  struct em_held *f;
+  struct bl_packet reply = { .key = p->key };
+
+  if (!s->alive || e->tag != s->generation)
+    return;
+  check_first (s, p);
+  f = find (s, &p->key);
+  if (f == NULL)
+    {
+      f = calloc (1, sizeof *f);
+      if (f == NULL)
+        return;
+      f->key = p->key;
+      f->iss = (uint32_t)bl_random_next (&em->random);
+      HASH_ADD (hh, s->flows, key, sizeof f->key, f);
+    }
+  reply.seq = f->iss;
+  reply.ack = p->seq + 1;
+  reply.flags = BL_TCP_SYN | BL_TCP_ACK;
+  em_server_outgoing (s, &reply, false, 0);
+}
+
+void
+em_server_packet (struct em_server *s,
+                  const struct bl_packet *packet,
+                  uint32_t token)
+{
+  struct em_held *f;
+  struct event *e;
+
+  if (!s->alive)
+    return;
+  if (bl_packet_is_first (packet))
+    {
+      e = em_post (s->em, HANDSHAKE_US, accept_flow, s->index, sizeof *packet);
+      e->tag = s->generation;
+      *(struct bl_packet *)e->data = *packet;
+      return;
+    }
+  f = find (s, &packet->key);
+  if (f == NULL || packet->ack != f->iss + 1)
+    {
+      s->em->totals.stray++;
+      em_server_outgoing (s, packet, true, token);
+      return;
+    }
+  if (!f->open)
+    s->opened++;
+  f->open = true;
+  if (packet->flags & (BL_TCP_RST | BL_TCP_FIN))
+    {
+      HASH_DEL (s->flows, f);
+      free (f);
+      return;
+    }
+  if (packet->payload_len > 0)
+    on_request (s, f, packet);
+}
