Check what the platform folder decodes, by tables and seeded fuzzing

Cause: packets, heartbeats and routes from outside were decoded without tests. Change: test_platform with good and bad input, 1,500 routes of 250 KB, 20,000 fuzzed inputs.

--- /dev/null
+++ b/test/test_platform.c
@@ -0,0 +1,385 @@
+/* test_platform.c -- names and formats of the users' platform
+
+   Tables of good and bad packets, heartbeats and configurations, and bounded
+   seeded fuzzing of each decoder.  */
+
+#include "platform/platform.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define FUZZ_RUNS 20000
+#define FUZZ_SEED 17
+
+/* -- packets -- */
+
+/* A first packet from 100.64.0.7:40001 to 198.18.0.1:443.  */
+static const uint8_t first[PLATFORM_HEAD] = {
+  0xc6, 0x12, 0x00, 0x01, 0x64, 0x40, 0x00, 0x07, 0x01, 0xbb, 0x9c, 0x41,
+  0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x11, 0x22, 0x33, 0x44, 0x00, 0x00,
+  0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0xa1, 0xb2, 0xc3, 0xd5,
+};
+
+static const uint8_t reset[PLATFORM_HEAD] = {
+  0x64, 0x40, 0x00, 0x07, 0xc6, 0x12, 0x00, 0x01, 0x9c, 0x41, 0x01, 0xbb,
+  0x20, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+  0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+};
+
+static void
+test_first_packet (void **state)
+{
+  struct platform_packet p;
+
+  (void)state;
+  assert_int_equal (platform_packet_parse (&p, first, sizeof first, false),
+                    BL_OK);
+  assert_int_equal (p.packet.key.src_ip, 0x64400007);
+  assert_int_equal (p.packet.key.dst_ip, 0xc6120001);
+  assert_int_equal (p.packet.key.src_port, 40001);
+  assert_int_equal (p.packet.key.dst_port, 443);
+  assert_int_equal (p.packet.seq, 0x11223344);
+  assert_true (bl_packet_is_first (&p.packet));
+  assert_false (p.returned);
+}
+
+static void
+test_reset (void **state)
+{
+  struct bl_flow_key key = { 0x64400007, 0xc6120001, 40001, 443 };
+  uint8_t buf[PLATFORM_HEAD];
+
+  (void)state;
+  platform_packet_reset (buf, &key, 0);
+  assert_memory_equal (buf, reset, sizeof reset);
+}
+
+/* A backend server's packet is told from the caller's side, one that it
+   returns is the caller's own.  */
+static void
+test_directions (void **state)
+{
+  struct platform_packet p;
+  uint8_t buf[PLATFORM_HEAD];
+
+  (void)state;
+  assert_int_equal (platform_packet_parse (&p, reset, sizeof reset, true),
+                    BL_OK);
+  assert_int_equal (p.packet.key.src_port, 40001);
+  assert_int_equal (p.packet.flags, BL_TCP_RST);
+  memcpy (buf, first, sizeof buf);
+  platform_packet_mark (buf, 7);
+  buf[12] |= 0x10;
+  assert_int_equal (platform_packet_parse (&p, buf, sizeof buf, true), BL_OK);
+  assert_true (p.returned);
+  assert_int_equal (p.token, 7);
+  assert_int_equal (p.packet.key.src_port, 40001);
+  platform_packet_mark (buf, 0);
+  assert_memory_equal (buf, first, sizeof first);
+}
+
+static void
+test_bad_packets (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    size_t len;
+    size_t at;
+    uint8_t value;
+    int want;
+  } cases[] = {
+    { "empty", 0, 0, 0xc6, BL_ESHORT },
+    { "one byte short", PLATFORM_HEAD - 1, 0, 0xc6, BL_ESHORT },
+    { "data missing", PLATFORM_HEAD, 31, 1, BL_EFORMAT },
+    { "length beyond any packet", PLATFORM_HEAD, 30, 0xff, BL_EFORMAT },
+    { "unknown flag", PLATFORM_HEAD, 12, 0x41, BL_EFORMAT },
+    { "data not told", PLATFORM_HEAD + 1, 0, 0xc6, BL_EFORMAT },
+  };
+  struct platform_packet p;
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      uint8_t buf[PLATFORM_HEAD + 1] = { 0 };
+      memcpy (buf, first, sizeof first);
+      buf[cases[i].at] = cases[i].value;
+      if (platform_packet_parse (&p, buf, cases[i].len, false) != cases[i].want)
+        fail_msg ("%s", cases[i].name);
+    }
+}
+
+/* -- heartbeats -- */
+
+#define GOOD                                                                   \
+  "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","              \
+  "\"version\":\"v1\",\"concurrencyLimit\":2,\"warmupRemainingMs\":0"
+
+static void
+test_heartbeats (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *id;
+    const char *body;
+    int want;
+    const char *place; /* of the first finding */
+  } cases[] = {
+    { "ready", "i-1", "{" GOOD ",\"state\":\"ready\",\"sequence\":4}", BL_OK,
+      NULL },
+    { "draining", "i-1",
+      "{" GOOD ",\"state\":\"draining\",\"sequence\":4,\"born\":9}", BL_OK,
+      NULL },
+    { "field of the future", "i-1",
+      "{" GOOD ",\"state\":\"ready\",\"sequence\":4,\"colour\":[]}", BL_OK,
+      NULL },
+    { "state not known", "i-1", "{" GOOD ",\"state\":\"tired\",\"sequence\":4}",
+      BL_EFORMAT, "body" },
+    { "state missing", "i-1", "{" GOOD ",\"sequence\":4}", BL_EFORMAT, "body" },
+    { "sequence is text", "i-1",
+      "{" GOOD ",\"state\":\"ready\",\"sequence\":\"4\"}", BL_EFORMAT, "body" },
+    { "start is a fraction", "i-1",
+      "{" GOOD ",\"state\":\"ready\",\"sequence\":4,\"born\":1.5}", BL_EFORMAT,
+      "body" },
+    { "service is a number", "i-1",
+      "{\"service\":4,\"address\":\"10.0.0.1:80\",\"state\":\"ready\","
+      "\"concurrencyLimit\":2,\"sequence\":1}",
+      BL_EFORMAT, "body" },
+    { "address without port", "i-1",
+      "{\"service\":\"s\",\"address\":\"10.0.0.1\",\"state\":\"ready\","
+      "\"concurrencyLimit\":2,\"sequence\":1}",
+      BL_EFORMAT, "body" },
+    { "not an object", "i-1", "[1]", BL_EFORMAT, "body" },
+    { "cut short", "i-1", "{\"service\":", BL_EFORMAT, "line 1, column 11" },
+    { "not text", "i-1", "\xff\xfe", BL_EFORMAT, "line 1, column 0" },
+    { "id is no name", "a/b", "{" GOOD ",\"state\":\"ready\",\"sequence\":4}",
+      BL_EFORMAT, "path" },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct bl_findings f = { .count = 0 };
+      struct bl_heartbeat beat;
+      int got = platform_heartbeat_parse (&beat, bl_str_of (cases[i].id),
+                                          bl_str_of (cases[i].body), &f);
+      if (got != cases[i].want)
+        fail_msg ("%s: got %d", cases[i].name, got);
+      if (cases[i].place != NULL && strcmp (f.items[0].place, cases[i].place))
+        fail_msg ("%s: place %s", cases[i].name, f.items[0].place);
+    }
+}
+
+/* -- routes -- */
+
+#define ROUTE(host, path, to)                                                  \
+  "{\"name\":\"r\",\"host\":\"" host "\",\"pathPrefix\":\"" path               \
+  "\",\"type\":\"idempotent\",\"timeoutMs\":1000,\"targetLatencyMs\":120,"     \
+  "\"priority\":2," to "}"
+#define PLAIN "\"service\":\"a\""
+
+static void
+test_routes (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *text;
+    int want;
+    size_t routes;
+    size_t findings;
+  } cases[] = {
+    { "one",
+      "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80/", PLAIN) "]}",
+      BL_OK, 1, 0 },
+    { "a split",
+      "{\"version\":7,\"routes\":[" ROUTE (
+          "1.2.3.4", "/80/",
+          "\"trafficSplit\":[{\"service\":\"a\",\"weight\":90},"
+          "{\"service\":\"b\",\"weight\":10}]") "]}",
+      BL_OK, 1, 0 },
+    { "one bad of two is left out",
+      "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80/", PLAIN) "," ROUTE (
+          "1.2.3", "/80/", PLAIN) "]}",
+      BL_OK, 1, 1 },
+    { "port beyond 65535",
+      "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/70000/", PLAIN) "]}",
+      BL_OK, 0, 1 },
+    { "port without slash",
+      "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80", PLAIN) "]}", BL_OK,
+      0, 1 },
+    { "no service",
+      "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80/", "\"x\":1") "]}",
+      BL_OK, 0, 1 },
+    { "no version", "{\"routes\":[]}", BL_EFORMAT, 0, 1 },
+    { "version is text", "{\"version\":\"7\",\"routes\":[]}", BL_EFORMAT, 0,
+      1 },
+    { "no list", "{\"version\":7}", BL_EFORMAT, 0, 1 },
+    { "cut short", "{\"version\":7,\"routes\":[", BL_EFORMAT, 0, 1 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct bl_findings f = { .count = 0 };
+      struct bl_table *table;
+      int got = platform_table_parse (&table, bl_str_of (cases[i].text), &f);
+      if (got != cases[i].want || f.count != cases[i].findings)
+        fail_msg ("%s: got %d, %zu findings", cases[i].name, got, f.count);
+      if (table != NULL && table->count != cases[i].routes)
+        fail_msg ("%s: %zu routes", cases[i].name, table->count);
+      bl_table_free (table);
+    }
+}
+
+/* 250 KB of routes; each is found, and none that is not there.  */
+static void
+test_many_routes (void **state)
+{
+  static char text[300000];
+  struct bl_findings f = { .count = 0 };
+  struct bl_table *table;
+  size_t len = (size_t)sprintf (text, "{\"version\":7,\"routes\":[");
+
+  (void)state;
+  for (unsigned i = 0; i < 1500; i++)
+    len += (size_t)sprintf (
+        text + len,
+        "%s{\"name\":\"r%u\",\"host\":\"198.18.%u.%u\","
+        "\"pathPrefix\":\"/443/\",\"type\":\"download\",\"timeoutMs\":1,"
+        "\"targetLatencyMs\":1,\"priority\":0,\"service\":\"a\","
+        "\"maxAttempts\":2}",
+        i > 0 ? "," : "", i, i / 250, i % 250);
+  strcpy (text + len, "]}");
+  assert_int_equal (platform_table_parse (&table, bl_str_of (text), &f), BL_OK);
+  assert_int_equal (table->count, 1500);
+  for (unsigned i = 0; i < 1500; i++)
+    assert_non_null (
+        bl_table_find (table, 0xc6120000u + (i / 250) * 256 + i % 250, 443));
+  assert_null (bl_table_find (table, 0xc6120000u, 444));
+  bl_table_free (table);
+}
+
+/* A split divides by weight, the same way for everybody.  */
+static void
+test_split (void **state)
+{
+  struct bl_table_route route = { .split_count = 2 };
+  unsigned second = 0;
+
+  (void)state;
+  route.splits[0].weight = 90;
+  route.splits[1].weight = 10;
+  for (uint64_t i = 0; i < 10000; i++)
+    {
+      struct bl_flow_key key = { (uint32_t)i, 2, 3, 4 };
+      uint64_t hash = bl_flow_hash (&key);
+      assert_ptr_equal (bl_table_split (&route, hash),
+                        bl_table_split (&route, hash));
+      second += bl_table_split (&route, hash) == &route.splits[1];
+    }
+  assert_in_range (second, 800, 1200);
+}
+
+/* -- fuzzing -- */
+
+static void
+fuzz_all (const uint8_t *buf, size_t len)
+{
+  struct bl_findings f = { .count = 0 };
+  struct bl_str text = { (const char *)buf, len };
+  struct platform_packet p;
+  struct bl_heartbeat beat;
+  struct bl_table *table;
+  struct bl_link link;
+
+  platform_packet_parse (&p, buf, len, true);
+  platform_heartbeat_parse (&beat, bl_str_of ("i"), text, &f);
+  if (platform_table_parse (&table, text, &f) == BL_OK)
+    bl_table_free (table);
+  bl_link_decode (&link, buf, len);
+}
+
+static size_t
+make_link (uint8_t *buf)
+{
+  struct bl_link link = {
+    .type = BL_LINK_ACCEPTED,
+    .service = UINT64_MAX,
+    .key = { 1, 2, 3, 4 },
+    .seq = 5,
+    .incarnation = 1ull << 40,
+  };
+  return bl_link_encode (&link, buf);
+}
+
+static void
+test_fuzz (void **state)
+{
+  static const char beat[] = "{" GOOD ",\"state\":\"ready\",\"sequence\":4}";
+  static const char routes[]
+      = "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80/", PLAIN) "]}";
+  struct bl_random random = { FUZZ_SEED };
+  uint8_t link[BL_LINK_MAX];
+  size_t link_len = make_link (link);
+
+  (void)state;
+  for (unsigned i = 0; i < FUZZ_RUNS; i++)
+    {
+      const void *from[] = { beat, routes, link, first };
+      size_t lens[]
+          = { sizeof beat - 1, sizeof routes - 1, link_len, sizeof first };
+      unsigned kind = i % 4;
+      size_t len = lens[kind];
+      uint8_t *buf = malloc (len + 1);
+      assert_non_null (buf);
+      memcpy (buf, from[kind], len);
+      for (unsigned n = bl_random_below (&random, 4); n > 0; n--)
+        buf[bl_random_below (&random, (uint32_t)len)]
+            = (uint8_t)bl_random_next (&random);
+      fuzz_all (buf, len - bl_random_below (&random, 3));
+      free (buf);
+    }
+}
+
+static void
+test_link_round_trip (void **state)
+{
+  struct bl_link link;
+  uint8_t buf[BL_LINK_MAX];
+  size_t len = make_link (buf);
+
+  (void)state;
+  assert_int_equal (bl_link_decode (&link, buf, len), (int)len);
+  assert_int_equal (link.type, BL_LINK_ACCEPTED);
+  assert_true (link.service == UINT64_MAX);
+  assert_int_equal (link.key.dst_port, 4);
+  assert_int_equal (bl_link_decode (&link, buf, len - 1), BL_ESHORT);
+  buf[1] = BL_LINK_VERSION + 1;
+  assert_int_equal (bl_link_decode (&link, buf, len), BL_EVERSION);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_first_packet),
+    cmocka_unit_test (test_reset),
+    cmocka_unit_test (test_directions),
+    cmocka_unit_test (test_bad_packets),
+    cmocka_unit_test (test_heartbeats),
+    cmocka_unit_test (test_routes),
+    cmocka_unit_test (test_many_routes),
+    cmocka_unit_test (test_split),
+    cmocka_unit_test (test_link_round_trip),
+    cmocka_unit_test (test_fuzz),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
