Take denials for proof only once all agents are known

Ruled out: an agent that forgets flows (the owner's agent had run all along). Change: a reset after denials needs the store's whole list, and a peer with the same records, or time to settle. Before/after: test_denials_of_a_part 1 reset / 0.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -20,6 +20,8 @@
 
 #define SWEEP_MS        500
 #define IDLE_DEFAULT_MS 15000 /* until the routes tell */
+#define ALONE_MS        1000  /* after a start; peers have answered by then */
+#define SETTLE_MS       5000  /* after a start; records have spread by then */
 #define IDLE_SLACK_MS   2000  /* kept longer than callers may be silent */
 
 static const char *const counter_names[] = {
@@ -541,6 +543,37 @@
                       t, 0);
 }
 
+void
+bl_dispatch_listed (struct bl_dispatch *d, uint64_t now)
+{
+  d->now = now;
+  d->listed = true;
+}
+
+static bool
+has_peers (const struct bl_dispatch *d)
+{
+  struct bl_target *t;
+  struct bl_target *next;
+
+  HASH_ITER (hh, d->fleet.targets, t, next)
+  if (t->record.kind == BL_KIND_MEMBER && t->heard_ms > 0 && !t->suspect)
+    return true;
+  return false;
+}
+
+/* The store's list may lag behind, and what a peer sends comes in parts; both
+   together, or much time, make sure.  */
+bool
+bl_dispatch_knows_all (const struct bl_dispatch *d)
+{
+  uint64_t up = d->now - d->started_ms;
+
+  if (!d->listed && !d->agreed)
+    return false;
+  return d->agreed || up > SETTLE_MS || (up > ALONE_MS && !has_peers (d));
+}
+
 /* Someone must be there to take flows; right after a start one's word is
    enough, later silence of all means that this process is cut off.  */
 bool
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -100,6 +100,8 @@
 void bl_dispatch_learn (struct bl_dispatch *d,
                         uint64_t now,
                         const struct bl_record *record);
+/* All instances that the platform's store holds have been learnt.  */
+void bl_dispatch_listed (struct bl_dispatch *d, uint64_t now);
 /* Whether callers' packets can be handled: routes and agents are known.  */
 bool bl_dispatch_ready (const struct bl_dispatch *d);
 const struct bl_fleet *bl_dispatch_fleet (const struct bl_dispatch *d);
--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -93,6 +93,8 @@
   uint64_t next_seed_ms;
   uint64_t next_share_ms;
   uint64_t next_pull_ms;
+  bool listed;   /* the store's list of instances has been read */
+  bool agreed;   /* some balancer held the same records since the start */
   bool has_news; /* other balancers are to be told of newer routes */
   struct bl_buffer buffer;
   uint64_t counters[BL_DISPATCH_COUNTERS];
@@ -127,6 +129,9 @@
                        const struct bl_flow_key *flow,
                        const struct bl_target *target,
                        uint64_t age_ms);
+/* Whether the agents known are all there are, so that their denials together
+   prove that nobody holds a flow.  */
+bool bl_dispatch_knows_all (const struct bl_dispatch *d);
 /* Resets the caller and forgets the flow.  */
 void bl_dispatch_end (struct bl_dispatch *d,
                       struct bl_passing *f,
--- a/core/dispatch_inquiry.c
+++ b/core/dispatch_inquiry.c
@@ -11,7 +11,8 @@
 
    When everybody has denied, the backend server is gone and the caller is
    reset, but only if the packet carries data: one without may belong to a
-   flow that both ends have closed.  Silence of any agent that is not dark
+   flow that both ends have closed; and only if this balancer knows all agents,
+   which takes a moment after its start.  Silence of any agent that is not dark
    keeps the answer open, and the packet is dropped.  */
 
 #include "core/dispatch_inner.h"
@@ -127,7 +128,7 @@
       if (ask_some (d, f, false) > 0)
         return;
     }
-  if (f->held_data && bl_fleet_sees (&d->fleet))
+  if (f->held_data && bl_fleet_sees (&d->fleet) && bl_dispatch_knows_all (d))
     bl_dispatch_end (d, f, BL_DISPATCH_LOST, "denied_by_all");
   else
     drop (d, f, "denied_by_all");
--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -186,6 +186,8 @@
   pull_if_behind (d, peer);
   if (msg->digest != bl_store_digest (d->fleet.store))
     share_records (d, from);
+  else
+    d->agreed = true;
 }
 
 static void
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -137,13 +137,20 @@
   uint64_t random_seed;
 };
 
-/* VISIT is called from the follower's thread; TEXT is NULL when the object was
-   removed.  */
+struct follower_ops
+{
+  /* TEXT is NULL when the object was removed.  */
+  void (*visit) (void *ctx,
+                 struct bl_str name,
+                 uint64_t revision,
+                 const char *text);
+  /* All objects have been visited; NULL: not wanted.  */
+  void (*listed) (void *ctx);
+};
+
+/* The operations are called from the follower's thread.  */
 struct follower *follower_start (const struct follower_settings *settings,
-                                 void (*visit) (void *ctx,
-                                                struct bl_str name,
-                                                uint64_t revision,
-                                                const char *text),
+                                 const struct follower_ops *ops,
                                  void *ctx);
 void follower_stop (struct follower *follower);
 /* Changes how long the next watches wait; from any thread.  */
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -309,6 +309,20 @@
   unlock (d);
 }
 
+static void
+on_members_listed (void *ctx)
+{
+  struct dispatcher *d = ctx;
+
+  lock (d);
+  bl_dispatch_listed (d->core, io_now_ms ());
+  unlock (d);
+}
+
+static const struct follower_ops routes_ops = { .visit = on_routes_object };
+static const struct follower_ops members_ops
+    = { .visit = on_member_object, .listed = on_members_listed };
+
 /* -- admin -- */
 
 static bool
@@ -527,8 +541,8 @@
 
   d->puller = puller_start (ROUTES_PATH, on_pulled, d);
   d->registry = registry_start (s->store, s->random_seed + 2);
-  d->routes = follower_start (&routes, on_routes_object, d);
-  d->members = follower_start (&members, on_member_object, d);
+  d->routes = follower_start (&routes, &routes_ops, d);
+  d->members = follower_start (&members, &members_ops, d);
   if (d->puller == NULL || d->registry == NULL || d->routes == NULL
       || d->members == NULL)
     return -1;
--- a/daemon/follower.c
+++ b/daemon/follower.c
@@ -28,10 +28,7 @@
   volatile unsigned wait_ms;
   bool reachable;
   bool changed; /* during the call under way */
-  void (*visit) (void *ctx,
-                 struct bl_str name,
-                 uint64_t revision,
-                 const char *text);
+  struct follower_ops ops;
   void *ctx;
 };
 
@@ -52,7 +49,7 @@
   struct follower *f = ctx;
 
   f->changed = true;
-  f->visit (f->ctx, name, revision, text);
+  f->ops.visit (f->ctx, name, revision, text);
 }
 
 static void
@@ -108,6 +105,8 @@
       note_result (f, result);
       if (result == PLATFORM_OK)
         {
+          if (!listed && f->ops.listed != NULL)
+            f->ops.listed (f->ctx);
           listed = true;
           attempt = 0;
           nap (f, f->changed ? f->settings.pause_ms : 0);
@@ -122,10 +121,7 @@
 
 struct follower *
 follower_start (const struct follower_settings *settings,
-                void (*visit) (void *ctx,
-                               struct bl_str name,
-                               uint64_t revision,
-                               const char *text),
+                const struct follower_ops *ops,
                 void *ctx)
 {
   struct follower *f = calloc (1, sizeof *f);
@@ -136,7 +132,7 @@
   f->random.state = settings->random_seed;
   f->wait_ms = settings->wait_ms;
   f->visitor = (struct platform_visitor){ .visit = on_object, .ctx = f };
-  f->visit = visit;
+  f->ops = *ops;
   f->ctx = ctx;
   f->reachable = true;
   f->store = platform_store_new (settings->store);
--- a/emulator/emulator.c
+++ b/emulator/emulator.c
@@ -302,6 +302,7 @@
       for (size_t i = 0; i < em->server_count; i++)
         if (em->servers[i].published.seq > 0)
           bl_dispatch_learn (b->core, now_ms (em), &em->servers[i].published);
+      bl_dispatch_listed (b->core, now_ms (em));
     }
   em_post (em, 10 * STORE_US, read_store, e->index, 0)->tag = e->tag;
 }
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -242,10 +242,190 @@
       run_case (i, seed);
 }
 
+/* -- one balancer, told step by step -- */
+
+/* What the balancer asked its surroundings for.  */
+struct seen
+{
+  unsigned queries;
+  unsigned packets;
+  unsigned resets;
+};
+
+static void
+on_to_agent (void *ctx,
+             struct bl_addr to,
+             const struct bl_link *link,
+             const uint8_t *packet,
+             size_t len)
+{
+  struct seen *seen = ctx;
+
+  (void)to;
+  (void)packet;
+  (void)len;
+  seen->queries += link->type == BL_LINK_QUERY;
+  seen->packets += link->type == BL_LINK_PACKET;
+}
+
+static void
+on_reset (void *ctx, const struct bl_flow_key *key, uint32_t seq)
+{
+  (void)key;
+  (void)seq;
+  ((struct seen *)ctx)->resets++;
+}
+
+static void
+on_send (void *ctx, struct bl_addr to, const uint8_t *buf, size_t len)
+{
+  (void)ctx;
+  (void)to;
+  (void)buf;
+  (void)len;
+}
+
+static void
+on_pull (void *ctx, const struct bl_target *peer)
+{
+  (void)ctx;
+  (void)peer;
+}
+
+static void
+on_decided (void *ctx, const struct bl_decision *decision)
+{
+  (void)ctx;
+  (void)decision;
+}
+
+static const struct bl_dispatch_ops step_ops = {
+  .to_agent = on_to_agent,
+  .reset = on_reset,
+  .send = on_send,
+  .pull = on_pull,
+  .decided = on_decided,
+};
+
+static const struct bl_flow_key step_key = { 1, 0xc6120001, 1024, 443 };
+
+static struct bl_dispatch *
+one_balancer (struct seen *seen)
+{
+  struct bl_dispatch_settings settings
+      = { .self = { .kind = BL_KIND_MEMBER, .ip = 1 }, .random_seed = SEED };
+  struct bl_table *table = bl_table_new (1);
+  struct bl_dispatch *d;
+
+  bl_name_set (&settings.self.id, bl_str_of ("b"));
+  bl_name_set (&settings.self.dc, bl_str_of ("dc"));
+  d = bl_dispatch_new (&settings, &step_ops, seen);
+  table->version = 1;
+  table->count = 1;
+  table->routes[0].ip = step_key.dst_ip;
+  table->routes[0].port = step_key.dst_port;
+  table->routes[0].split_count = 1;
+  bl_name_set (&table->routes[0].splits[0].service, bl_str_of ("s"));
+  table->routes[0].splits[0].service_hash
+      = bl_name_hash (&table->routes[0].splits[0].service, 0);
+  table->routes[0].splits[0].weight = 1;
+  bl_dispatch_tick (d, 1);
+  bl_dispatch_configure (d, 1, table);
+  return d;
+}
+
+static void
+learn_agent (struct bl_dispatch *d, uint64_t now, uint32_t ip)
+{
+  struct bl_record r = {
+    .kind = BL_KIND_BACKEND,
+    .state = BL_STATE_READY,
+    .ip = ip,
+    .data_port = 1,
+    .control_port = 2,
+    .incarnation = 1,
+    .seq = 1,
+    .slots = 2,
+  };
+  char name[16];
+
+  snprintf (name, sizeof name, "a%u", ip);
+  bl_name_set (&r.id, bl_str_of (name));
+  bl_name_set (&r.dc, bl_str_of ("dc"));
+  bl_name_set (&r.service, bl_str_of ("s"));
+  bl_dispatch_learn (d, now, &r);
+}
+
+static void
+agent_says (struct bl_dispatch *d,
+            uint64_t now,
+            uint32_t ip,
+            enum bl_link_type type)
+{
+  struct bl_link link = { .type = type, .key = step_key, .incarnation = 1 };
+
+  bl_dispatch_link (d, now, (struct bl_addr){ ip, 1 }, &link, NULL, NULL, 0);
+}
+
+static void
+send_data (struct bl_dispatch *d, uint64_t now)
+{
+  struct bl_packet p
+      = { .key = step_key, .flags = BL_TCP_ACK, .payload_len = 10 };
+
+  bl_dispatch_packet (d, now, &p, (const uint8_t *)&p, sizeof p);
+}
+
+/* A balancer that has just started knows two of three agents: that both deny a
+   flow does not prove that nobody holds it.  */
+static void
+test_denials_of_a_part (void **state)
+{
+  struct seen seen = { .resets = 0 };
+  struct bl_dispatch *d = one_balancer (&seen);
+
+  (void)state;
+  learn_agent (d, 10, 11);
+  learn_agent (d, 10, 12);
+  send_data (d, 20);
+  agent_says (d, 30, 11, BL_LINK_DENIED);
+  agent_says (d, 30, 12, BL_LINK_DENIED);
+  assert_int_equal (seen.resets, 0);
+  learn_agent (d, 100, 13);
+  bl_dispatch_listed (d, 100);
+  send_data (d, 220);
+  agent_says (d, 230, 13, BL_LINK_OWNED);
+  assert_int_equal (seen.packets, 1);
+  assert_int_equal (seen.resets, 0);
+  bl_dispatch_free (d);
+}
+
+/* Once it knows all, the caller is told at once.  */
+static void
+test_denials_of_all (void **state)
+{
+  struct seen seen = { .resets = 0 };
+  struct bl_dispatch *d = one_balancer (&seen);
+
+  (void)state;
+  learn_agent (d, 10, 11);
+  learn_agent (d, 10, 12);
+  bl_dispatch_listed (d, 10);
+  bl_dispatch_tick (d, 6000);
+  send_data (d, 6010);
+  agent_says (d, 6020, 11, BL_LINK_DENIED);
+  assert_int_equal (seen.resets, 0);
+  agent_says (d, 6020, 12, BL_LINK_DENIED);
+  assert_int_equal (seen.resets, 1);
+  bl_dispatch_free (d);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_denials_of_a_part),
+    cmocka_unit_test (test_denials_of_all),
     cmocka_unit_test (test_faults),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
