Offer a packet to several unsure agents at a time; agents started with their server are sure

Ruled out: waiting for the first heartbeat (1.2 s more). Change: an agent that started within 1.5 s of its backend server knows all flows; up to six unsure ones are offered the packet at the same time.

--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -33,6 +33,7 @@
   BL_REPLY_NONE,
   BL_REPLY_DENIED,
   BL_REPLY_UNSURE,
+  BL_REPLY_PROBED, /* was offered the packet, and has not returned it yet */
 };
 
 /* An agent that was asked whether it owns a flow.  */
@@ -45,12 +46,12 @@
 struct bl_inquiry
 {
   uint64_t started_ms;
-  uint64_t probed_ms; /* when the packet was last offered to one unsure */
+  uint64_t probed_ms; /* when the packet was last offered to unsure ones */
   size_t count;
   size_t cap;
   struct bl_asked *asked; /* owned */
-  struct bl_target *probed;
-  bool everywhere; /* not only the route's own services were asked */
+  size_t probed;          /* how many have it and have not returned it */
+  bool everywhere;        /* not only the route's own services were asked */
 };
 
 struct bl_passing
--- a/core/dispatch_inquiry.c
+++ b/core/dispatch_inquiry.c
@@ -6,8 +6,8 @@
    The agents of the route's services are asked; if all of these deny, all
    others are, for the route may have led to other services when the flow
    began.  The packet is held meanwhile.  An agent that started after its
-   backend server cannot deny: the packet is offered to such ones, one after
-   the other, and the backend server itself returns what it does not hold.
+   backend server cannot deny: the packet is offered to such ones, a few at a
+   time, and the backend servers themselves return what they do not hold.
 
    When everybody has denied, the backend server is gone and the caller is
    reset, but only if the packet carries data: one without may belong to a
@@ -20,6 +20,7 @@
 #include <stdlib.h>
 
 #define INQUIRY_MS 180 /* callers send again after 200 ms */
+#define PROBE_FAN  6   /* agents that have the packet at the same time */
 #define PROBE_MS   50  /* until a backend server would have returned it */
 
 static bool
@@ -149,7 +150,7 @@
   bl_passing_open (d, f, owner, born);
 }
 
-/* Offers the packet to the next agent that could not tell.  */
+/* Offers the packet to the next agents that could not tell.  */
 static bool
 probe_next (struct bl_dispatch *d, struct bl_passing *f)
 {
@@ -157,16 +158,16 @@
 
   for (size_t i = 0; i < q->count && f->held != NULL; i++)
     {
+      if (q->probed == PROBE_FAN)
+        break;
       if (q->asked[i].reply != BL_REPLY_UNSURE)
         continue;
-      q->asked[i].reply = BL_REPLY_DENIED;
-      q->probed = q->asked[i].target;
+      q->asked[i].reply = BL_REPLY_PROBED;
+      q->probed++;
       q->probed_ms = d->now;
-      bl_dispatch_forward (d, f, q->probed, f->held, f->held_len);
-      return true;
+      bl_dispatch_forward (d, f, q->asked[i].target, f->held, f->held_len);
     }
-  q->probed = NULL;
-  return false;
+  return q->probed > 0;
 }
 
 /* Whether every agent that was asked, but dark ones, has answered.  */
@@ -182,12 +183,21 @@
 static void
 go_on (struct bl_dispatch *d, struct bl_passing *f)
 {
-  if (f->inquiry.probed != NULL || !all_answered (&f->inquiry))
+  if (f->inquiry.probed > 0 || !all_answered (&f->inquiry))
     return;
   if (!probe_next (d, f))
     nobody (d, f);
 }
 
+static struct bl_asked *
+find_asked (struct bl_inquiry *q, const struct bl_target *t)
+{
+  for (size_t i = 0; i < q->count; i++)
+    if (q->asked[i].target == t)
+      return &q->asked[i];
+  return NULL;
+}
+
 void
 bl_inquiry_answer (struct bl_dispatch *d,
                    struct bl_passing *f,
@@ -195,34 +205,54 @@
                    const struct bl_link *link)
 {
   struct bl_inquiry *q = &f->inquiry;
+  struct bl_asked *asked = find_asked (q, from);
 
   if (link->type == BL_LINK_OWNED)
     {
-      found (d, f, from, link->born, from != q->probed);
+      found (d, f, from, link->born,
+             asked == NULL || asked->reply != BL_REPLY_PROBED);
       return;
     }
-  if (link->type == BL_LINK_UNKNOWN)
+  if (asked == NULL)
+    return;
+  if (link->type == BL_LINK_UNKNOWN && asked->reply == BL_REPLY_PROBED)
     {
-      if (from == q->probed)
-        q->probed = NULL;
+      asked->reply = BL_REPLY_DENIED;
+      q->probed--;
     }
-  else
-    for (size_t i = 0; i < q->count; i++)
-      if (q->asked[i].target == from && q->asked[i].reply == BL_REPLY_NONE)
-        q->asked[i].reply
-            = link->type == BL_LINK_DENIED ? BL_REPLY_DENIED : BL_REPLY_UNSURE;
+  else if (link->type != BL_LINK_UNKNOWN && asked->reply == BL_REPLY_NONE)
+    asked->reply
+        = link->type == BL_LINK_DENIED ? BL_REPLY_DENIED : BL_REPLY_UNSURE;
   go_on (d, f);
 }
 
+/* No packet came back from these in time: one of them holds the flow, and its
+   agent tells with the next packet of the backend server; or the packet was
+   lost.  */
+static void
+probes_ran_out (struct bl_dispatch *d, struct bl_passing *f)
+{
+  struct bl_inquiry *q = &f->inquiry;
+  struct bl_asked *only = NULL;
+
+  for (size_t i = 0; i < q->count; i++)
+    if (q->asked[i].reply == BL_REPLY_PROBED)
+      only = &q->asked[i];
+  if (q->probed == 1)
+    found (d, f, only->target, only->target->born, false);
+  else
+    drop (d, f, "no_answer");
+}
+
 void
 bl_inquiry_wait (struct bl_dispatch *d, struct bl_passing *f)
 {
   struct bl_inquiry *q = &f->inquiry;
 
-  if (q->probed != NULL)
+  if (q->probed > 0)
     {
       if (d->now - q->probed_ms > PROBE_MS)
-        found (d, f, q->probed, q->probed->born, false);
+        probes_ran_out (d, f);
       return;
     }
   if (q->count == 0 || all_answered (q))
--- a/core/pass.c
+++ b/core/pass.c
@@ -26,6 +26,7 @@
 #define START_CHECKS   20    /* checks made then, at most */
 #define MISSED_BEATS   3     /* heartbeats missed until a check */
 #define UNSURE_MS      17000 /* flows that live have shown themselves by then */
+#define BORN_SLACK_MS  1500  /* both start together after a loss of power */
 #define IDLE_MS        20000 /* until a flow is forgotten */
 #define CLOSED_MS      3000  /* the same once an end has closed it */
 #define BUSY_MAX_MS    8000  /* an answer that late will not come */
@@ -419,7 +420,7 @@
 {
   if (p->self.state >= BL_STATE_LEFT || p->left)
     return false;
-  if (p->born != 0 && p->born > p->self.incarnation)
+  if (p->born != 0 && p->born + BORN_SLACK_MS > p->self.incarnation)
     return false;
   return p->now - p->started_ms < UNSURE_MS;
 }
--- a/emulator/emulator.c
+++ b/emulator/emulator.c
@@ -876,6 +876,21 @@
     em_post (em, (double)down_ms * 1000, start_server, server, 0);
 }
 
+void
+em_power_off (struct em *em, uint64_t down_ms)
+{
+  const uint64_t spread = 300; /* instances are not back in one moment */
+
+  for (size_t i = 0; i < em->balancer_count; i++)
+    em_kill_balancer (em, i, down_ms + bl_random_below (&em->random, spread));
+  for (size_t i = 0; i < em->server_count; i++)
+    {
+      uint64_t down = down_ms + bl_random_below (&em->random, spread);
+      em_crash_server (em, i, down);
+      em_kill_agent (em, i, down);
+    }
+}
+
 static uint64_t
 cut_end (const struct em *em, uint64_t for_ms)
 {
--- a/emulator/emulator.h
+++ b/emulator/emulator.h
@@ -113,6 +113,9 @@
    after FOR_MS; 0: never.  */
 void em_cut_server (struct em *em, size_t server, uint64_t for_ms);
 void em_cut_balancer (struct em *em, size_t balancer, uint64_t for_ms);
+/* All instances lose power; they are back after DOWN_MS, and so are their
+   backend servers.  */
+void em_power_off (struct em *em, uint64_t down_ms);
 /* The backend server says that it drains.  */
 void em_drain_server (struct em *em, size_t server);
 /* Adds a backend server with its agent; returns its index.  */
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -9,6 +9,7 @@
 #include <stdarg.h>
 #include <stddef.h>
 #include <stdio.h>
+#include <stdlib.h>
 
 #include <cmocka.h>
 
@@ -123,6 +124,12 @@
     em_kill_agent (em, i, 700);
 }
 
+static void
+all_lose_power (struct em *em)
+{
+  em_power_off (em, 1000);
+}
+
 static void
 servers_replaced (struct em *em)
 {
@@ -181,6 +188,7 @@
   { "agents killed in turn", agents_killed_in_turn, { 0, 0.95 } },
   { "agents and balancers killed", agents_and_balancers_killed, { 0, 0.80 } },
   { "all agents killed, store down", all_killed_without_store, { 0, 0.80 } },
+  { "all lose power", all_lose_power, { 0, 0.80 } },
   { "servers replaced", servers_replaced, { 0, 0.99 } },
   { "servers crash", servers_crash, { 0, 0.95 } },
   { "servers cut", servers_cut, { 0, 0.95 } },
@@ -220,6 +228,13 @@
   em_run (em, em_now (em) + WARM_MS);
   all = sum (em);
   share = (double)(all.in_time + all.late) / (double)all.asked;
+  if (getenv ("SECONDS_SHOWN") != NULL)
+    for (size_t s = WARM_MS / 1000; s < EM_BUCKETS_MAX; s++)
+      if (t->seconds[s].asked > 0)
+        printf (
+            "  %zu: asked %lu in time %lu late %lu failed %lu refused %lu\n", s,
+            t->seconds[s].asked, t->seconds[s].in_time, t->seconds[s].late,
+            t->seconds[s].failed, t->seconds[s].refused);
   printf ("%-30s seed %lu: asked %lu in time %lu late %lu failed %lu refused "
           "%lu broken %lu stray %lu far %.2f\n",
           cases[i].name, seed, all.asked, all.in_time, all.late, all.failed,
