Keep all packets of a request while its owner is asked for

Ruled out: packets lost in a stopping balancer (no packet seen twice there), slow inquiries (10 ms). Change: up to 16 packets wait, in order.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -125,22 +125,32 @@
   bl_passing_wait (d, f, false);
   HASH_DEL (d->flows, f);
   free (f->inquiry.asked);
-  free (f->held);
+  bl_passing_release (f);
   free (f);
 }
 
 void
 bl_passing_hold (struct bl_passing *f, const struct bl_bytes *b)
 {
-  uint8_t *copy = malloc (b->len);
+  uint8_t *copy;
 
+  if (f->held_count == BL_HELD_MAX)
+    return;
+  copy = malloc (b->len);
   if (copy == NULL)
     return;
   memcpy (copy, b->ptr, b->len);
-  free (f->held);
-  f->held = copy;
-  f->held_len = b->len;
-  f->held_data = b->packet->payload_len > 0;
+  f->held[f->held_count++] = (struct bl_held){ copy, b->len };
+  f->held_data = f->held_data || b->packet->payload_len > 0;
+}
+
+void
+bl_passing_release (struct bl_passing *f)
+{
+  for (size_t i = 0; i < f->held_count; i++)
+    free (f->held[i].ptr);
+  f->held_count = 0;
+  f->held_data = false;
 }
 
 void
@@ -157,8 +167,7 @@
   bl_passing_wait (d, f, false);
   free (f->inquiry.asked);
   f->inquiry = (struct bl_inquiry){ .count = 0 };
-  free (f->held);
-  f->held = NULL;
+  bl_passing_release (f);
 }
 
 /* -- decisions -- */
@@ -340,7 +349,7 @@
     pass_on_open (d, f, &b);
   else if (f->phase == BL_PHASE_OPENING)
     pass_on_opening (d, f, &b);
-  else if (!f->held_data || p->payload_len > 0)
+  else
     bl_passing_hold (f, &b);
 }
 
@@ -363,11 +372,10 @@
 on_unknown (struct bl_dispatch *d,
             struct bl_passing *f,
             struct bl_target *from,
-            const struct bl_link *link,
             const struct bl_bytes *returned)
 {
   if (f->phase == BL_PHASE_SEARCHING)
-    bl_inquiry_answer (d, f, from, link);
+    bl_inquiry_returned (d, f, from, returned);
   else if (f->phase == BL_PHASE_OPEN && f->owner == from
            && returned->packet != NULL)
     bl_inquiry_start (d, f, returned);
@@ -401,7 +409,7 @@
         bl_place_answer (d, f, t, link);
       break;
     case BL_LINK_UNKNOWN:
-      on_unknown (d, f, t, link, &returned);
+      on_unknown (d, f, t, &returned);
       break;
     case BL_LINK_OWNED:
     case BL_LINK_DENIED:
--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -21,6 +21,14 @@
   bool refused;
 };
 
+#define BL_HELD_MAX 16 /* packets that a caller may have in flight */
+
+struct bl_held
+{
+  uint8_t *ptr; /* owned */
+  size_t len;
+};
+
 enum bl_phase
 {
   BL_PHASE_OPENING,   /* offered; the caller has not chosen an answer yet */
@@ -69,9 +77,11 @@
   size_t try_count;
   struct bl_try tries[BL_TRIES_MAX];
   struct bl_inquiry inquiry;
-  uint8_t *held; /* owned; a packet that may have to be sent again */
-  size_t held_len;
-  bool held_data; /* it carries bytes of the caller */
+  /* Packets that wait for an owner, or a first packet that may have to be
+     offered again; in order of arrival.  */
+  size_t held_count;
+  struct bl_held held[BL_HELD_MAX];
+  bool held_data; /* one of them carries bytes of the caller */
   bool pending;   /* in the list of flows with something to wait for */
   struct bl_passing *prev;
   struct bl_passing *next;
@@ -113,7 +123,9 @@
 struct bl_passing *bl_passing_find (struct bl_dispatch *d,
                                     const struct bl_flow_key *key);
 void bl_passing_remove (struct bl_dispatch *d, struct bl_passing *f);
+/* Keeps a copy of a packet; one too many is dropped.  */
 void bl_passing_hold (struct bl_passing *f, const struct bl_bytes *b);
+void bl_passing_release (struct bl_passing *f);
 void bl_passing_wait (struct bl_dispatch *d, struct bl_passing *f, bool wait);
 void bl_passing_open (struct bl_dispatch *d,
                       struct bl_passing *f,
@@ -160,6 +172,12 @@
                         struct bl_passing *f,
                         struct bl_target *from,
                         const struct bl_link *link);
+/* The backend server of FROM does not hold the flow; RETURNED is the packet
+   that showed it.  */
+void bl_inquiry_returned (struct bl_dispatch *d,
+                          struct bl_passing *f,
+                          struct bl_target *from,
+                          const struct bl_bytes *returned);
 void bl_inquiry_wait (struct bl_dispatch *d, struct bl_passing *f);
 
 /* dispatch_members.c */
--- a/core/dispatch_inquiry.c
+++ b/core/dispatch_inquiry.c
@@ -100,6 +100,7 @@
                   struct bl_passing *f,
                   const struct bl_bytes *b)
 {
+  bl_passing_release (f);
   bl_passing_hold (f, b);
   free (f->inquiry.asked);
   f->inquiry = (struct bl_inquiry){ .started_ms = d->now };
@@ -145,8 +146,9 @@
   d->counters[BL_DISPATCH_FOUND]++;
   bl_dispatch_note (d, "owner_found", send ? "claimed" : "not_returned",
                     &f->key, owner, d->now - f->since_ms);
-  if (send && f->held != NULL)
-    bl_dispatch_forward (d, f, owner, f->held, f->held_len);
+  /* The first was offered already if the owner was found by that.  */
+  for (size_t i = send ? 0 : 1; i < f->held_count; i++)
+    bl_dispatch_forward (d, f, owner, f->held[i].ptr, f->held[i].len);
   bl_passing_open (d, f, owner, born);
 }
 
@@ -156,7 +158,7 @@
 {
   struct bl_inquiry *q = &f->inquiry;
 
-  for (size_t i = 0; i < q->count && f->held != NULL; i++)
+  for (size_t i = 0; i < q->count && f->held_count > 0; i++)
     {
       if (q->probed == PROBE_FAN)
         break;
@@ -165,7 +167,8 @@
       q->asked[i].reply = BL_REPLY_PROBED;
       q->probed++;
       q->probed_ms = d->now;
-      bl_dispatch_forward (d, f, q->asked[i].target, f->held, f->held_len);
+      bl_dispatch_forward (d, f, q->asked[i].target, f->held[0].ptr,
+                           f->held[0].len);
     }
   return q->probed > 0;
 }
@@ -215,14 +218,27 @@
     }
   if (asked == NULL)
     return;
-  if (link->type == BL_LINK_UNKNOWN && asked->reply == BL_REPLY_PROBED)
+  if (asked->reply == BL_REPLY_NONE)
+    asked->reply
+        = link->type == BL_LINK_DENIED ? BL_REPLY_DENIED : BL_REPLY_UNSURE;
+  go_on (d, f);
+}
+
+void
+bl_inquiry_returned (struct bl_dispatch *d,
+                     struct bl_passing *f,
+                     struct bl_target *from,
+                     const struct bl_bytes *returned)
+{
+  struct bl_asked *asked = find_asked (&f->inquiry, from);
+
+  if (asked != NULL && asked->reply == BL_REPLY_PROBED)
     {
       asked->reply = BL_REPLY_DENIED;
-      q->probed--;
+      f->inquiry.probed--;
     }
-  else if (link->type != BL_LINK_UNKNOWN && asked->reply == BL_REPLY_NONE)
-    asked->reply
-        = link->type == BL_LINK_DENIED ? BL_REPLY_DENIED : BL_REPLY_UNSURE;
+  else if (returned->packet != NULL)
+    bl_passing_hold (f, returned);
   go_on (d, f);
 }
 
--- a/core/dispatch_place.c
+++ b/core/dispatch_place.c
@@ -164,7 +164,7 @@
   t->placed++;
   bl_target_asked (t, d->now);
   bl_passing_wait (d, f, true);
-  bl_dispatch_forward (d, f, t, f->held, f->held_len);
+  bl_dispatch_forward (d, f, t, f->held[0].ptr, f->held[0].len);
 }
 
 bool
@@ -172,7 +172,7 @@
 {
   struct bl_target *t;
 
-  if (f->try_count == BL_TRIES_MAX || f->held == NULL)
+  if (f->try_count == BL_TRIES_MAX || f->held_count == 0)
     return false;
   t = choose (d, f);
   if (t == NULL)
@@ -205,6 +205,7 @@
   f->touched_ms = d->now;
   if (f->phase != BL_PHASE_OPENING)
     return;
+  bl_passing_release (f);
   bl_passing_hold (f, b);
   if (accepted != NULL)
     bl_dispatch_forward (d, f, accepted->target, b->ptr, b->len);
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -435,10 +435,30 @@
   bl_dispatch_free (d);
 }
 
+/* A request of several packets reaches a balancer that does not know its flow:
+   all of them wait for the owner.  */
+static void
+test_all_packets_wait (void **state)
+{
+  struct seen seen = { .resets = 0 };
+  struct bl_dispatch *d = one_balancer (&seen);
+
+  (void)state;
+  learn_agent (d, 10, 11);
+  send_data (d, 20);
+  send_data (d, 21);
+  send_data (d, 22);
+  assert_int_equal (seen.packets, 0);
+  agent_says (d, 30, 11, BL_LINK_OWNED);
+  assert_int_equal (seen.packets, 3);
+  bl_dispatch_free (d);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_all_packets_wait),
     cmocka_unit_test (test_denials_of_a_part),
     cmocka_unit_test (test_denials_of_all),
     cmocka_unit_test (test_faults),
