--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -20,23 +20,8 @@
 
 #define SWEEP_MS        500
 #define IDLE_DEFAULT_MS 15000 /* until the routes tell */
-#define ALONE_MS        1000  /* after a start; peers have answered by then */
-#define SETTLE_MS       5000  /* after a start; records have spread by then */
 #define IDLE_SLACK_MS   2000  /* kept longer than callers may be silent */
 
-static const char *const counter_names[] = {
-  [BL_DISPATCH_FORWARDED] = "packets_forwarded",
-  [BL_DISPATCH_PLACED] = "flows_placed",
-  [BL_DISPATCH_RETRIED] = "flows_offered_again",
-  [BL_DISPATCH_REFUSED] = "flows_refused",
-  [BL_DISPATCH_NO_ROUTE] = "packets_without_route",
-  [BL_DISPATCH_SEARCHES] = "owners_asked_for",
-  [BL_DISPATCH_FOUND] = "owners_found",
-  [BL_DISPATCH_LOST] = "flows_lost",
-  [BL_DISPATCH_DROPPED] = "packets_dropped",
-  [BL_DISPATCH_BAD] = "messages_malformed",
-};
-
 struct bl_dispatch *
 bl_dispatch_new (const struct bl_dispatch_settings *s,
                  const struct bl_dispatch_ops *ops,
@@ -501,6 +486,7 @@
   if (d->started_ms == 0)
     d->started_ms = now;
   bl_fleet_judge (&d->fleet, now);
+  bl_dispatch_update_state (d);
   bl_members_tick (d);
   wait_for_answers (d);
   if (now < d->next_sweep_ms)
@@ -508,110 +494,3 @@
   d->next_sweep_ms = now + SWEEP_MS;
   sweep (d);
 }
-
-/* -- configuration and members -- */
-
-int
-bl_dispatch_configure (struct bl_dispatch *d,
-                       uint64_t now,
-                       struct bl_table *table)
-{
-  d->now = now;
-  if (d->table != NULL && table->version <= d->table->version)
-    {
-      bl_table_free (table);
-      return BL_ESTALE;
-    }
-  bl_table_free (d->table);
-  d->table = table;
-  d->has_news = true;
-  bl_dispatch_note (d, "configured", "newer_version", NULL, NULL, 0);
-  return BL_OK;
-}
-
-const struct bl_table *
-bl_dispatch_table (const struct bl_dispatch *d)
-{
-  return d->table;
-}
-
-void
-bl_dispatch_learn (struct bl_dispatch *d,
-                   uint64_t now,
-                   const struct bl_record *record)
-{
-  struct bl_target *t;
-
-  d->now = now;
-  if (bl_name_equal (&record->id, &d->settings.self.id))
-    return;
-  t = bl_fleet_learn (&d->fleet, now, record);
-  if (t != NULL)
-    bl_dispatch_note (d, "instance_learnt", bl_state_name (record->state), NULL,
-                      t, 0);
-}
-
-void
-bl_dispatch_listed (struct bl_dispatch *d, uint64_t now)
-{
-  d->now = now;
-  d->listed = true;
-}
-
-static bool
-has_peers (const struct bl_dispatch *d)
-{
-  struct bl_target *t;
-  struct bl_target *next;
-
-  HASH_ITER (hh, d->fleet.targets, t, next)
-  if (t->record.kind == BL_KIND_MEMBER && t->heard_ms > 0 && !t->suspect)
-    return true;
-  return false;
-}
-
-/* The store's list may lag behind, and what a peer sends comes in parts; both
-   together, or much time, make sure.  */
-bool
-bl_dispatch_knows_all (const struct bl_dispatch *d)
-{
-  uint64_t up = d->now - d->started_ms;
-
-  if (!d->listed && !d->agreed)
-    return false;
-  return d->agreed || up > SETTLE_MS || (up > ALONE_MS && !has_peers (d));
-}
-
-/* Someone must be there to take flows; right after a start one's word is
-   enough, later silence of all means that this process is cut off.  */
-bool
-bl_dispatch_ready (const struct bl_dispatch *d)
-{
-  return d->table != NULL && d->fleet.backend_count > 0
-         && d->fleet.dark_count < d->fleet.backend_count;
-}
-
-const struct bl_fleet *
-bl_dispatch_fleet (const struct bl_dispatch *d)
-{
-  return &d->fleet;
-}
-
-size_t
-bl_dispatch_flow_count (const struct bl_dispatch *d)
-{
-  return HASH_COUNT (d->flows);
-}
-
-uint64_t
-bl_dispatch_counter (const struct bl_dispatch *d,
-                     enum bl_dispatch_counter counter)
-{
-  return d->counters[counter];
-}
-
-const char *
-bl_dispatch_counter_name (enum bl_dispatch_counter counter)
-{
-  return counter_names[counter];
-}
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -104,6 +104,13 @@
 void bl_dispatch_listed (struct bl_dispatch *d, uint64_t now);
 /* Whether callers' packets can be handled: routes and agents are known.  */
 bool bl_dispatch_ready (const struct bl_dispatch *d);
+/* Starts a graceful stop: other balancers see it draining.  */
+void bl_dispatch_drain (struct bl_dispatch *d, uint64_t now);
+/* Whether the routers can do without this balancer: while fewer than half of a
+   data centre's balancers are ready, they also use those that are not.  */
+bool bl_dispatch_may_leave (const struct bl_dispatch *d);
+/* The own record, whose state follows from what this balancer can do.  */
+const struct bl_record *bl_dispatch_record (const struct bl_dispatch *d);
 const struct bl_fleet *bl_dispatch_fleet (const struct bl_dispatch *d);
 size_t bl_dispatch_flow_count (const struct bl_dispatch *d);
 uint64_t bl_dispatch_counter (const struct bl_dispatch *d,
--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -142,15 +142,18 @@
                        const struct bl_flow_key *flow,
                        const struct bl_target *target,
                        uint64_t age_ms);
-/* Whether the agents known are all there are, so that their denials together
-   prove that nobody holds a flow.  */
-bool bl_dispatch_knows_all (const struct bl_dispatch *d);
 /* Resets the caller and forgets the flow.  */
 void bl_dispatch_end (struct bl_dispatch *d,
                       struct bl_passing *f,
                       enum bl_dispatch_counter counter,
                       const char *why);
 
+/* dispatch_state.c */
+void bl_dispatch_update_state (struct bl_dispatch *d);
+/* Whether the agents known are all there are, so that their denials together
+   prove that nobody holds a flow.  */
+bool bl_dispatch_knows_all (const struct bl_dispatch *d);
+
 /* dispatch_place.c */
 /* Offers the held first packet to one more backend server.  False when there
    is none left.  */
--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -49,6 +49,11 @@
     .incarnation = t->record.incarnation,
   };
 
+  if (t->record.kind == BL_KIND_MEMBER)
+    {
+      msg.record_count = 1;
+      msg.records = &d->settings.self;
+    }
   tell_versions (d, &msg);
   t->pinged_ms = d->now;
   bl_target_asked (t, d->now);
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -30,9 +30,11 @@
 #define MEMBERS_WAIT_MS     25000 /* of one watch */
 #define MEMBERS_PAUSE_MS    300   /* changes join in one call meanwhile */
 #define ROUTES_PATH         "/v1/routes"
-#define STOP_MIN_MS         1300 /* the routers have noticed by then */
-#define STOP_QUIET_MS       500  /* without packets: they have let go */
-#define STOP_MAX_MS         3000
+#define STOP_MIN_MS         1300 /* after leaving; the routers have noticed by then */
+#define STOP_QUIET_MS       500 /* without packets: they have let go */
+#define LEAVE_MARGIN_MS     2700 /* of the grace time, needed to leave in order */
+#define EXIT_MARGIN_MS      1000 /* of the grace time, needed to end threads */
+#define GRACE_DEFAULT_S     6
 
 struct dispatcher;
 
@@ -62,6 +64,7 @@
   char *routes_text;    /* owned; of the table in force */
   uint64_t packet_ms;   /* of the last packet of a caller */
   uint64_t stopping_ms; /* since when; 0: not */
+  uint64_t leaving_ms;  /* since when it says that it is not ready; 0: not */
   uint64_t malformed;
   uint8_t datagram[DATAGRAM_CAP];
 };
@@ -329,7 +332,7 @@
 admin_ready (void *ctx)
 {
   struct dispatcher *d = ctx;
-  return bl_dispatch_ready (d->core) && d->stopping_ms == 0;
+  return bl_dispatch_ready (d->core) && d->leaving_ms == 0;
 }
 
 static int
@@ -396,6 +399,7 @@
   d->stopping_ms = io_now_ms ();
   io_log (IO_INFO, "stop_started", "id=%s flows=%zu", d->settings->id.s,
           bl_dispatch_flow_count (d->core));
+  bl_dispatch_drain (d->core, d->stopping_ms);
 }
 
 static void
@@ -415,16 +419,30 @@
 
 /* -- life -- */
 
-/* A stopping balancer goes on until the routers have let go of it.  */
+/* A stopping balancer stays in rotation while the routers cannot do without
+   it, then goes on until they have let go of it.  */
 static void
 watch_stop (struct dispatcher *d)
 {
   uint64_t now = io_now_ms ();
   uint64_t waited = now - d->stopping_ms;
+  uint64_t grace_s = d->settings->stop_grace_s > 0 ? d->settings->stop_grace_s
+                                                   : GRACE_DEFAULT_S;
+  uint64_t grace_ms = grace_s * 1000;
 
-  if (d->stopping_ms == 0 || waited < STOP_MIN_MS)
+  if (d->stopping_ms == 0)
     return;
-  if (now - d->packet_ms > STOP_QUIET_MS || waited > STOP_MAX_MS)
+  if (d->leaving_ms == 0
+      && (bl_dispatch_may_leave (d->core)
+          || waited + LEAVE_MARGIN_MS >= grace_ms))
+    {
+      d->leaving_ms = now;
+      io_log (IO_INFO, "leaving", "id=%s waited_ms=%lu", d->settings->id.s,
+              waited);
+    }
+  if (waited + EXIT_MARGIN_MS >= grace_ms
+      || (d->leaving_ms != 0 && now - d->leaving_ms > STOP_MIN_MS
+          && now - d->packet_ms > STOP_QUIET_MS))
     io_loop_stop (d->loop);
 }
 
@@ -472,7 +490,7 @@
 
   d->self = (struct bl_record){
     .kind = BL_KIND_MEMBER,
-    .state = BL_STATE_READY,
+    .state = BL_STATE_STARTING,
     .id = s->id,
     .dc = s->dc,
     .ip = s->ip,
@@ -604,9 +622,9 @@
               "role=balancer transport=datagram id=%s dc=%s", settings->id.s,
               settings->dc.s);
       io_loop_run (d->loop);
-      io_log (IO_INFO, "stopped", "role=balancer id=%s", settings->id.s);
       status = 0;
     }
   close_all (d);
+  io_log (IO_INFO, "stopped", "role=balancer id=%s", settings->id.s);
   return status;
 }
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -511,9 +511,9 @@
       io_log (IO_INFO, "started", "role=agent transport=datagram id=%s dc=%s",
               settings->id.s, settings->dc.s);
       io_loop_run (p->loop);
-      io_log (IO_INFO, "stopped", "role=agent id=%s", settings->id.s);
       status = 0;
     }
   close_all (p);
+  io_log (IO_INFO, "stopped", "role=agent id=%s", settings->id.s);
   return status;
 }
--- a/daemon/registry.c
+++ b/daemon/registry.c
@@ -17,7 +17,6 @@
 
 #define BACKOFF_MIN_MS 200
 #define BACKOFF_MAX_MS 2000
-#define WITHDRAW_TRIES 2 /* when the process ends */
 
 struct registry
 {
@@ -191,10 +190,13 @@
       else if (!r->stopped)
         wait_changed (r, backoff_ms (r, ++attempt));
     }
-  for (int i = 0; r->withdraw && i < WITHDRAW_TRIES; i++)
-    if (platform_store_delete (r->store, REGISTRY_KIND, r->record.id.s)
-        != PLATFORM_UNKNOWN)
-      break;
+  if (r->withdraw)
+    {
+      enum platform_result result
+          = platform_store_delete (r->store, REGISTRY_KIND, r->record.id.s);
+      io_log (IO_INFO, "record_withdrawn", "result=\"%s\"",
+              platform_result_name (result));
+    }
   pthread_mutex_unlock (&r->mutex);
   return NULL;
 }
--- a/emulator/emulator.c
+++ b/emulator/emulator.c
@@ -298,7 +298,8 @@
     {
       bl_dispatch_configure (b->core, now_ms (em), em_table (em));
       for (size_t i = 0; i < em->balancer_count; i++)
-        bl_dispatch_learn (b->core, now_ms (em), &em->balancers[i].self);
+        if (em->balancers[i].self.incarnation > 0)
+          bl_dispatch_learn (b->core, now_ms (em), &em->balancers[i].self);
       for (size_t i = 0; i < em->server_count; i++)
         if (em->servers[i].published.seq > 0)
           bl_dispatch_learn (b->core, now_ms (em), &em->servers[i].published);
@@ -359,7 +360,7 @@
   b->process.dc = dc;
   b->self = (struct bl_record){
     .kind = BL_KIND_MEMBER,
-    .state = BL_STATE_READY,
+    .state = BL_STATE_STARTING,
     .ip = BALANCER_NET | (uint32_t)index,
     .data_port = DATA_PORT,
     .control_port = CONTROL_PORT,
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -454,10 +454,71 @@
   bl_dispatch_free (d);
 }
 
+static void
+learn_peer (struct bl_dispatch *d, uint32_t ip, enum bl_state state)
+{
+  struct bl_record r = {
+    .kind = BL_KIND_MEMBER,
+    .state = state,
+    .ip = ip,
+    .data_port = 1,
+    .control_port = 2,
+    .incarnation = 1,
+    .seq = 1 + (uint32_t)state,
+  };
+  char name[16];
+
+  snprintf (name, sizeof name, "b%u", ip);
+  bl_name_set (&r.id, bl_str_of (name));
+  bl_name_set (&r.dc, bl_str_of ("dc"));
+  bl_dispatch_learn (d, 10, &r);
+}
+
+/* The routers use all balancers of a data centre, dead ones too, while fewer
+   than half are ready: a stopping one waits until they can do without it.  */
+static void
+test_leaves_in_turn (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    enum bl_state peers[3]; /* left: none */
+    bool may;
+  } table[] = {
+    { "alone", { BL_STATE_LEFT, BL_STATE_LEFT, BL_STATE_LEFT }, true },
+    { "one ready", { BL_STATE_READY, BL_STATE_LEFT, BL_STATE_LEFT }, true },
+    { "one of two ready",
+      { BL_STATE_READY, BL_STATE_STARTING, BL_STATE_LEFT },
+      false },
+    { "two ready", { BL_STATE_READY, BL_STATE_READY, BL_STATE_LEFT }, true },
+    { "one of three ready",
+      { BL_STATE_READY, BL_STATE_DRAINING, BL_STATE_STARTING },
+      false },
+    { "none of two ready",
+      { BL_STATE_STARTING, BL_STATE_DRAINING, BL_STATE_LEFT },
+      true },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof table / sizeof table[0]; i++)
+    {
+      struct seen seen = { .resets = 0 };
+      struct bl_dispatch *d = one_balancer (&seen);
+      for (uint32_t p = 0; p < 3; p++)
+        if (table[i].peers[p] != BL_STATE_LEFT)
+          learn_peer (d, 20 + p, table[i].peers[p]);
+      bl_dispatch_drain (d, 20);
+      if (bl_dispatch_may_leave (d) != table[i].may)
+        fail_msg ("%s", table[i].name);
+      bl_dispatch_free (d);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_leaves_in_turn),
     cmocka_unit_test (test_all_packets_wait),
     cmocka_unit_test (test_denials_of_a_part),
     cmocka_unit_test (test_denials_of_all),
