Ask agents of all services before concluding, even if routes change meanwhile

A route that had come to include the owner's service meanwhile (config_storm) left that one out of both rounds. Also, two balancers that started together vouched for each other. Ruled out: agents that forget flows; agents not known (all 100 were). Change: the second round asks all that were not asked; only a peer that knows all agents vouches, or the store's list, read 300 ms ago.

--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -104,8 +104,8 @@
   uint64_t next_seed_ms;
   uint64_t next_share_ms;
   uint64_t next_pull_ms;
-  bool listed;   /* the store's list of instances has been read */
-  bool agreed;   /* some balancer held the same records since the start */
+  uint64_t listed_ms; /* when the store's list of instances was read; 0: not */
+  bool vouched;  /* a balancer that knows all agents held the same records */
   bool has_news; /* other balancers are to be told of newer routes */
   struct bl_buffer buffer;
   uint64_t counters[BL_DISPATCH_COUNTERS];
--- a/core/dispatch_inquiry.c
+++ b/core/dispatch_inquiry.c
@@ -67,17 +67,16 @@
     .ack = f->last_ack,
   };
 
-  /* Routes may have changed since the first were asked.  */
   if (was_asked (&f->inquiry, t) || !note_asked (&f->inquiry, t))
     return;
   bl_target_asked (t, d->now);
   d->ops.to_agent (d->ctx, bl_target_data (t), &link, NULL, 0);
 }
 
-/* Asks the agents that serve the route, or else all others.  Returns how
-   many.  */
+/* Asks the agents that serve the route, or all that were not asked yet: routes
+   may have changed meanwhile, and instances have come.  Returns how many.  */
 static size_t
-ask_some (struct bl_dispatch *d, struct bl_passing *f, bool of_route)
+ask_some (struct bl_dispatch *d, struct bl_passing *f, bool everywhere)
 {
   const struct bl_table_route *route
       = bl_table_find (d->table, f->key.dst_ip, f->key.dst_port);
@@ -89,7 +88,7 @@
   {
     if (t->record.kind != BL_KIND_BACKEND || t->record.state >= BL_STATE_LEFT)
       continue;
-    if (serves_route (route, t->service) == of_route)
+    if (everywhere || serves_route (route, t->service))
       ask (d, f, t);
   }
   return f->inquiry.count - before;
@@ -109,7 +108,7 @@
   f->since_ms = d->now;
   d->counters[BL_DISPATCH_SEARCHES]++;
   bl_passing_wait (d, f, true);
-  ask_some (d, f, true);
+  ask_some (d, f, false);
 }
 
 static void
@@ -127,7 +126,7 @@
   if (!f->inquiry.everywhere)
     {
       f->inquiry.everywhere = true;
-      if (ask_some (d, f, false) > 0)
+      if (ask_some (d, f, true) > 0)
         return;
     }
   if (f->held_data && bl_fleet_sees (&d->fleet) && bl_dispatch_knows_all (d))
--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -37,6 +37,7 @@
 {
   msg->config_version = d->table != NULL ? d->table->version : 0;
   msg->digest = bl_store_digest (d->fleet.store);
+  msg->yes = bl_dispatch_knows_all (d);
 }
 
 static void
@@ -191,8 +192,8 @@
   pull_if_behind (d, peer);
   if (msg->digest != bl_store_digest (d->fleet.store))
     share_records (d, from);
-  else
-    d->agreed = true;
+  else if (msg->yes)
+    d->vouched = true;
 }
 
 static void
--- a/core/dispatch_state.c
+++ b/core/dispatch_state.c
@@ -6,8 +6,8 @@
 
 #include "core/dispatch_inner.h"
 
-#define ALONE_MS  1000 /* after a start; peers have answered by then */
-#define SETTLE_MS 5000 /* after a start; records have spread by then */
+#define LIST_SETTLE_MS 300   /* after the list was read */
+#define SETTLE_MS      10000 /* after a start; records have spread by then */
 
 static const char *const counter_names[] = {
   [BL_DISPATCH_FORWARDED] = "packets_forwarded",
@@ -66,31 +66,19 @@
 bl_dispatch_listed (struct bl_dispatch *d, uint64_t now)
 {
   d->now = now;
-  d->listed = true;
+  if (d->listed_ms == 0)
+    d->listed_ms = now;
 }
 
-static bool
-has_peers (const struct bl_dispatch *d)
-{
-  struct bl_target *t;
-  struct bl_target *next;
-
-  HASH_ITER (hh, d->fleet.targets, t, next)
-  if (t->record.kind == BL_KIND_MEMBER && t->heard_ms > 0 && !t->suspect)
-    return true;
-  return false;
-}
-
-/* The store's list may lag behind, and what a peer sends comes in parts; both
-   together, or much time, make sure.  */
+/* Agents register in the store as they start; one that did so while the list
+   was read is heard of a moment later.  With the store away, a peer that knows
+   all and holds the same records will do, or much time.  */
 bool
 bl_dispatch_knows_all (const struct bl_dispatch *d)
 {
-  uint64_t up = d->now - d->started_ms;
-
-  if (!d->listed && !d->agreed)
-    return false;
-  return d->agreed || up > SETTLE_MS || (up > ALONE_MS && !has_peers (d));
+  if (d->listed_ms != 0 && d->now - d->listed_ms >= LIST_SETTLE_MS)
+    return true;
+  return d->vouched || d->now - d->started_ms > SETTLE_MS;
 }
 
 /* Someone must be there to take flows; right after a start one's word is
--- a/core/msg.h
+++ b/core/msg.h
@@ -33,6 +33,8 @@
                           INCARNATION are of the record held */
   BL_MSG_STATUS,       /* answer, or unasked at a change: LOAD requests under
                           way, FLOWS open, DIGEST start of the backend server;
+                          a balancer's: CONFIG_VERSION and DIGEST held, YES if
+                          it knows all agents;
                           RECORDS[0] when the asker holds another */
   BL_MSG_TYPE_END,
 };
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -3,6 +3,7 @@
    Each case runs the real core of balancers and agents in the emulator and
    brings about one failure, or several.  */
 
+#include "core/msg.h"
 #include "emulator/emulator.h"
 
 #include <setjmp.h>
@@ -324,33 +325,47 @@
 
 static const struct bl_flow_key step_key = { 1, 0xc6120001, 1024, 443 };
 
+static struct bl_table *
+one_route (uint64_t version, const char *service, const char *other)
+{
+  const char *names[] = { service, other };
+  struct bl_table *table = bl_table_new (1);
+  struct bl_table_route *r = &table->routes[0];
+
+  table->version = version;
+  table->count = 1;
+  r->ip = step_key.dst_ip;
+  r->port = step_key.dst_port;
+  for (size_t i = 0; i < 2 && names[i] != NULL; i++)
+    {
+      bl_name_set (&r->splits[i].service, bl_str_of (names[i]));
+      r->splits[i].service_hash = bl_name_hash (&r->splits[i].service, 0);
+      r->splits[i].weight = 1;
+      r->split_count++;
+    }
+  return table;
+}
+
 static struct bl_dispatch *
 one_balancer (struct seen *seen)
 {
   struct bl_dispatch_settings settings
       = { .self = { .kind = BL_KIND_MEMBER, .ip = 1 }, .random_seed = SEED };
-  struct bl_table *table = bl_table_new (1);
   struct bl_dispatch *d;
 
   bl_name_set (&settings.self.id, bl_str_of ("b"));
   bl_name_set (&settings.self.dc, bl_str_of ("dc"));
   d = bl_dispatch_new (&settings, &step_ops, seen);
-  table->version = 1;
-  table->count = 1;
-  table->routes[0].ip = step_key.dst_ip;
-  table->routes[0].port = step_key.dst_port;
-  table->routes[0].split_count = 1;
-  bl_name_set (&table->routes[0].splits[0].service, bl_str_of ("s"));
-  table->routes[0].splits[0].service_hash
-      = bl_name_hash (&table->routes[0].splits[0].service, 0);
-  table->routes[0].splits[0].weight = 1;
   bl_dispatch_tick (d, 1);
-  bl_dispatch_configure (d, 1, table);
+  bl_dispatch_configure (d, 1, one_route (1, "s", NULL));
   return d;
 }
 
 static void
-learn_agent (struct bl_dispatch *d, uint64_t now, uint32_t ip)
+learn_agent (struct bl_dispatch *d,
+             uint64_t now,
+             uint32_t ip,
+             const char *service)
 {
   struct bl_record r = {
     .kind = BL_KIND_BACKEND,
@@ -367,10 +382,30 @@
   snprintf (name, sizeof name, "a%u", ip);
   bl_name_set (&r.id, bl_str_of (name));
   bl_name_set (&r.dc, bl_str_of ("dc"));
-  bl_name_set (&r.service, bl_str_of ("s"));
+  bl_name_set (&r.service, bl_str_of (service));
   bl_dispatch_learn (d, now, &r);
 }
 
+static void
+learn_peer (struct bl_dispatch *d, uint32_t ip, enum bl_state state)
+{
+  struct bl_record r = {
+    .kind = BL_KIND_MEMBER,
+    .state = state,
+    .ip = ip,
+    .data_port = 1,
+    .control_port = 2,
+    .incarnation = 1,
+    .seq = 1 + (uint32_t)state,
+  };
+  char name[16];
+
+  snprintf (name, sizeof name, "b%u", ip);
+  bl_name_set (&r.id, bl_str_of (name));
+  bl_name_set (&r.dc, bl_str_of ("dc"));
+  bl_dispatch_learn (d, 10, &r);
+}
+
 static void
 agent_says (struct bl_dispatch *d,
             uint64_t now,
@@ -400,13 +435,13 @@
   struct bl_dispatch *d = one_balancer (&seen);
 
   (void)state;
-  learn_agent (d, 10, 11);
-  learn_agent (d, 10, 12);
+  learn_agent (d, 10, 11, "s");
+  learn_agent (d, 10, 12, "s");
   send_data (d, 20);
   agent_says (d, 30, 11, BL_LINK_DENIED);
   agent_says (d, 30, 12, BL_LINK_DENIED);
   assert_int_equal (seen.resets, 0);
-  learn_agent (d, 100, 13);
+  learn_agent (d, 100, 13, "s");
   bl_dispatch_listed (d, 100);
   send_data (d, 220);
   agent_says (d, 230, 13, BL_LINK_OWNED);
@@ -415,6 +450,56 @@
   bl_dispatch_free (d);
 }
 
+/* A flow lives at a service that its route no longer leads to, and does again
+   while its owner is being asked for.  */
+static void
+test_routes_change_meanwhile (void **state)
+{
+  struct seen seen = { .resets = 0 };
+  struct bl_dispatch *d = one_balancer (&seen);
+
+  (void)state;
+  learn_agent (d, 10, 11, "s");
+  learn_agent (d, 10, 12, "t");
+  bl_dispatch_listed (d, 10);
+  bl_dispatch_tick (d, 400);
+  send_data (d, 410);
+  bl_dispatch_configure (d, 415, one_route (2, "s", "t"));
+  agent_says (d, 420, 11, BL_LINK_DENIED);
+  assert_int_equal (seen.resets, 0);
+  assert_int_equal (seen.queries, 2);
+  agent_says (d, 430, 12, BL_LINK_OWNED);
+  assert_int_equal (seen.packets, 1);
+  bl_dispatch_free (d);
+}
+
+/* Two balancers that started together hold the same few records: that they
+   agree proves nothing; a peer that knows all does.  */
+static void
+test_agreement (void **state)
+{
+  (void)state;
+  for (int knows = 0; knows < 2; knows++)
+    {
+      struct seen seen = { .resets = 0 };
+      struct bl_dispatch *d = one_balancer (&seen);
+      struct bl_buffer buffer = { .len = 0 };
+      struct bl_msg msg = { .type = BL_MSG_STATUS, .yes = knows == 1 };
+      learn_agent (d, 10, 11, "s");
+      learn_peer (d, 20, BL_STATE_READY);
+      bl_name_set (&msg.from, bl_str_of ("b20"));
+      msg.digest = bl_store_digest (bl_dispatch_fleet (d)->store);
+      assert_int_equal (bl_msg_encode (&msg, &buffer), BL_OK);
+      bl_dispatch_message (d, 15, (struct bl_addr){ 20, 2 }, buffer.ptr,
+                           buffer.len);
+      send_data (d, 20);
+      agent_says (d, 30, 11, BL_LINK_DENIED);
+      assert_int_equal (seen.resets, (unsigned)knows);
+      bl_buffer_free (&buffer);
+      bl_dispatch_free (d);
+    }
+}
+
 /* Once it knows all, the caller is told at once.  */
 static void
 test_denials_of_all (void **state)
@@ -423,14 +508,14 @@
   struct bl_dispatch *d = one_balancer (&seen);
 
   (void)state;
-  learn_agent (d, 10, 11);
-  learn_agent (d, 10, 12);
+  learn_agent (d, 10, 11, "s");
+  learn_agent (d, 10, 12, "s");
   bl_dispatch_listed (d, 10);
-  bl_dispatch_tick (d, 6000);
-  send_data (d, 6010);
-  agent_says (d, 6020, 11, BL_LINK_DENIED);
+  bl_dispatch_tick (d, 400);
+  send_data (d, 410);
+  agent_says (d, 420, 11, BL_LINK_DENIED);
   assert_int_equal (seen.resets, 0);
-  agent_says (d, 6020, 12, BL_LINK_DENIED);
+  agent_says (d, 420, 12, BL_LINK_DENIED);
   assert_int_equal (seen.resets, 1);
   bl_dispatch_free (d);
 }
@@ -444,7 +529,7 @@
   struct bl_dispatch *d = one_balancer (&seen);
 
   (void)state;
-  learn_agent (d, 10, 11);
+  learn_agent (d, 10, 11, "s");
   send_data (d, 20);
   send_data (d, 21);
   send_data (d, 22);
@@ -454,26 +539,6 @@
   bl_dispatch_free (d);
 }
 
-static void
-learn_peer (struct bl_dispatch *d, uint32_t ip, enum bl_state state)
-{
-  struct bl_record r = {
-    .kind = BL_KIND_MEMBER,
-    .state = state,
-    .ip = ip,
-    .data_port = 1,
-    .control_port = 2,
-    .incarnation = 1,
-    .seq = 1 + (uint32_t)state,
-  };
-  char name[16];
-
-  snprintf (name, sizeof name, "b%u", ip);
-  bl_name_set (&r.id, bl_str_of (name));
-  bl_name_set (&r.dc, bl_str_of ("dc"));
-  bl_dispatch_learn (d, 10, &r);
-}
-
 /* The routers use all balancers of a data centre, dead ones too, while fewer
    than half are ready: a stopping one waits until they can do without it.  */
 static void
@@ -521,6 +586,8 @@
     cmocka_unit_test (test_leaves_in_turn),
     cmocka_unit_test (test_all_packets_wait),
     cmocka_unit_test (test_denials_of_a_part),
+    cmocka_unit_test (test_routes_change_meanwhile),
+    cmocka_unit_test (test_agreement),
     cmocka_unit_test (test_denials_of_all),
     cmocka_unit_test (test_faults),
   };
