Show own sight by a few agents; an agent without a backend server leaves for good

With 100 agents asked every 9 s each, more questions were open than answered, so balancers took themselves to be cut off, again and again, and never counted those machines as gone. Ruled out: agents too slow to answer (they answer in 12 ms). Change: while questions are open, six others are asked every 300 ms and a third of them, four at most, must be heard; an agent that found no backend server says at its stop that it has left, and knows that no flow is older than itself.

--- a/core/dispatch_inquiry.c
+++ b/core/dispatch_inquiry.c
@@ -111,11 +111,23 @@
   ask_some (d, f, false);
 }
 
+/* An agent that has not answered, for the log.  */
+static const struct bl_target *
+first_silent (const struct bl_inquiry *q)
+{
+  for (size_t i = 0; i < q->count; i++)
+    if (q->asked[i].reply == BL_REPLY_NONE
+        || q->asked[i].reply == BL_REPLY_PROBED)
+      return q->asked[i].target;
+  return NULL;
+}
+
 static void
 drop (struct bl_dispatch *d, struct bl_passing *f, const char *why)
 {
   d->counters[BL_DISPATCH_DROPPED]++;
-  bl_dispatch_note (d, "dropped", why, &f->key, NULL, d->now - f->since_ms);
+  bl_dispatch_note (d, "dropped", why, &f->key, first_silent (&f->inquiry),
+                    d->now - f->since_ms);
   bl_passing_remove (d, f);
 }
 
--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -18,6 +18,7 @@
 #define STATUS_MIN_MS   400  /* between questions to the same instance */
 #define SUSPECT_PING_MS 120  /* the same while one is open */
 #define DARK_PING_MS    1000 /* the same once it counts as gone */
+#define SIGHT_PING_MS   300  /* of those whose answers show own sight */
 #define SEED_MS         1000 /* between questions to the seeds */
 #define SHARE_MS        500  /* between sendings of records to one peer */
 #define PULL_MS         250  /* between two pulls of routes */
@@ -80,8 +81,24 @@
       send_msg (d, d->settings.seeds[i], &msg);
 }
 
+/* Whether T is one of the few whose answers show that this process is not cut
+   off; *LEFT counts them down.  */
+static bool
+shows_sight (const struct bl_dispatch *d,
+             const struct bl_target *t,
+             size_t *left)
+{
+  if (d->fleet.suspect_count == 0 || *left == 0 || t->suspect
+      || t->record.kind != BL_KIND_BACKEND)
+    return false;
+  --*left;
+  return true;
+}
+
 static uint64_t
-interval_of (const struct bl_dispatch *d, const struct bl_target *t)
+interval_of (const struct bl_dispatch *d,
+             const struct bl_target *t,
+             bool shows_sight)
 {
   uint64_t ms
       = HASH_COUNT (d->fleet.targets) * STATUS_BYTES * 1000 / STATUS_BYTES_S;
@@ -90,6 +107,8 @@
     return DARK_PING_MS;
   if (t->suspect)
     return SUSPECT_PING_MS;
+  if (shows_sight)
+    return SIGHT_PING_MS;
   return ms < STATUS_MIN_MS ? STATUS_MIN_MS : ms;
 }
 
@@ -110,6 +129,7 @@
 void
 bl_members_tick (struct bl_dispatch *d)
 {
+  size_t sight_left = BL_SIGHT_AGENTS;
   struct bl_target *t;
   struct bl_target *next;
 
@@ -119,8 +139,11 @@
     /* What was heard on a flow's behalf is as good as an answer.  */
     uint64_t last = t->heard_ms > t->pinged_ms ? t->heard_ms : t->pinged_ms;
     bool told = d->has_news && t->record.kind == BL_KIND_MEMBER;
-    if (t->record.state < BL_STATE_LEFT
-        && (told || d->now - last >= interval_of (d, t)))
+    bool sight;
+    if (t->record.state >= BL_STATE_LEFT)
+      continue;
+    sight = shows_sight (d, t, &sight_left);
+    if (told || d->now - last >= interval_of (d, t, sight))
       ask_status (d, t);
     if (t->record.kind == BL_KIND_MEMBER && !t->suspect)
       pull_if_behind (d, t);
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -5,9 +5,9 @@
    question, a ping or a flow's first packet, that stays open for
    BL_SUSPECT_MS puts its target behind the others; one that stays open for
    BL_DARK_MS makes it count as gone until it is heard again.  Both are undone
-   by a single message.  While more leave questions open than answer, this
-   process takes itself to be cut off; what was silent meanwhile proves nothing
-   afterwards, so all questions start anew.  */
+   by a single message.  While questions are open and too few agents are heard,
+   this process takes itself to be cut off; what was silent meanwhile proves
+   nothing afterwards, so all questions start anew.  */
 
 #include "core/fleet.h"
 
@@ -162,6 +162,15 @@
   fleet->dark_count = 0;
 }
 
+/* In a small fleet fewer answers must do.  */
+static size_t
+sight_needed (const struct bl_fleet *fleet)
+{
+  size_t some = (fleet->backend_count + 2) / 3;
+
+  return some < BL_SIGHT_AGENTS - 2 ? some : BL_SIGHT_AGENTS - 2;
+}
+
 void
 bl_fleet_judge (struct bl_fleet *fleet, uint64_t now)
 {
@@ -175,7 +184,8 @@
   fleet->heard_count = 0;
   HASH_ITER (hh, fleet->targets, t, next)
   judge_target (fleet, t, now);
-  fleet->blind = fleet->suspect_count > fleet->heard_count;
+  fleet->blind
+      = fleet->suspect_count > 0 && fleet->heard_count < sight_needed (fleet);
   if (was_blind && !fleet->blind)
     regain_sight (fleet, now);
 }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -42,7 +42,7 @@
   size_t dark_count;    /* agents that count as gone */
   size_t suspect_count; /* agents that leave a question open */
   size_t heard_count;   /* agents heard within BL_DARK_MS, and not suspect */
-  bool blind;           /* too few answered at the last look */
+  bool blind;           /* questions are open and hardly anyone answers */
 };
 
 int bl_fleet_init (struct bl_fleet *fleet);
@@ -62,8 +62,11 @@
 void bl_target_asked (struct bl_target *target, uint64_t now);
 /* Marks who has been silent for too long.  */
 void bl_fleet_judge (struct bl_fleet *fleet, uint64_t now);
-/* Whether silence tells of the others rather than of this process: of the
-   agents that were lately asked, at least half answered.  */
+/* While some agents leave questions open, so many others are asked often: their
+   answers show that this process is not cut off itself.  */
+#define BL_SIGHT_AGENTS 6
+/* Whether silence tells of the others rather than of this process: enough
+   agents have answered within BL_DARK_MS.  */
 bool bl_fleet_sees (const struct bl_fleet *fleet);
 struct bl_addr bl_target_data (const struct bl_target *target);
 struct bl_addr bl_target_control (const struct bl_target *target);
--- a/core/pass.c
+++ b/core/pass.c
@@ -86,6 +86,7 @@
   uint64_t beat_seq;
   uint64_t beat_ms; /* last heartbeat; 0: none */
   bool left;
+  bool watched;           /* no flow can be older than this process */
   uint64_t unanswered_ms; /* oldest packet without an answer; 0: none */
   uint64_t checked_ms;
   unsigned start_checks;
@@ -216,7 +217,8 @@
 static void
 set_state (struct bl_pass *p, enum bl_state state, const char *why)
 {
-  if (p->self.state == state)
+  /* A stop is told even when nothing else changes.  */
+  if (p->self.state == state && state != BL_STATE_STARTING)
     return;
   p->self.state = state;
   announce (p, why);
@@ -418,7 +420,7 @@
 static bool
 is_unsure (const struct bl_pass *p)
 {
-  if (p->self.state >= BL_STATE_LEFT || p->left)
+  if (p->self.state >= BL_STATE_LEFT || p->left || p->watched)
     return false;
   if (p->born != 0 && p->born + BORN_SLACK_MS > p->self.incarnation)
     return false;
@@ -555,6 +557,7 @@
   p->beat_seq = 0;
   p->unanswered_ms = 0;
   p->left = false;
+  p->watched = true;
 }
 
 static bool
@@ -639,6 +642,8 @@
         set_state (pass, BL_STATE_READY, "connection_accepted");
       return;
     }
+  /* No backend server runs: whichever starts now is seen from its start.  */
+  pass->watched = true;
   if (pass->self.state != BL_STATE_READY
       && pass->self.state != BL_STATE_DRAINING)
     return;
@@ -762,7 +767,11 @@
 bl_pass_stop (struct bl_pass *pass, uint64_t now)
 {
   pass->now = now;
-  if (pass->self.state < BL_STATE_LEFT)
+  if (pass->self.state >= BL_STATE_LEFT)
+    return;
+  if (pass->beat_ms == 0 && pass->watched)
+    set_state (pass, BL_STATE_LEFT, "no_backend");
+  else
     set_state (pass, BL_STATE_STARTING, "stopping");
 }
 
