An agent without a backend server counts as left until one is there

After a loss of power, machines whose backend server had been taken away came back for a second each, one after the other; every inquiry waited for each of them until it counted as gone (821 + 689 packets dropped, p99 1.4 s). Ruled out: blindness (not seen in the log), slow agents, addresses used again (a fault too, mended: of two instances at one address the younger is there). Change: the first connection attempt decides what an agent says of itself; one that finds no backend server has left, is not asked, and is back with the first heartbeat.

--- a/core/dispatch_inquiry.c
+++ b/core/dispatch_inquiry.c
@@ -111,13 +111,13 @@
   ask_some (d, f, false);
 }
 
-/* An agent that has not answered, for the log.  */
+/* An agent that is waited for, for the log.  */
 static const struct bl_target *
 first_silent (const struct bl_inquiry *q)
 {
   for (size_t i = 0; i < q->count; i++)
-    if (q->asked[i].reply == BL_REPLY_NONE
-        || q->asked[i].reply == BL_REPLY_PROBED)
+    if (q->asked[i].reply == BL_REPLY_PROBED
+        || (q->asked[i].reply == BL_REPLY_NONE && !q->asked[i].target->dark))
       return q->asked[i].target;
   return NULL;
 }
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -69,19 +69,23 @@
   return t;
 }
 
-/* A target of the same address that NEWER has taken over is gone.  */
+/* Of two instances at the same address the one that started last is there;
+   the other is gone, in whichever order they were learnt.  */
 static void
-retire_predecessor (struct bl_fleet *fleet, const struct bl_target *newer)
+retire_older (struct bl_fleet *fleet, struct bl_target *learnt)
 {
   struct bl_target *t;
   struct bl_target *next;
 
   HASH_ITER (hh, fleet->targets, t, next)
-  if (t != newer && t->record.ip == newer->record.ip
-      && t->record.control_port == newer->record.control_port
-      && t->record.state < BL_STATE_LEFT
-      && t->record.incarnation < newer->record.incarnation)
-    t->record.state = BL_STATE_LEFT;
+  {
+    struct bl_target *older
+        = t->record.incarnation < learnt->record.incarnation ? t : learnt;
+    if (t != learnt && t->record.ip == learnt->record.ip
+        && t->record.control_port == learnt->record.control_port
+        && t->record.state < BL_STATE_LEFT)
+      older->record.state = BL_STATE_LEFT;
+  }
 }
 
 struct bl_target *
@@ -109,8 +113,9 @@
   t->service = bl_name_hash (&record->service, 0);
   if (record->state == BL_STATE_READY && t->warm_ms == 0)
     t->warm_ms = now;
-  retire_predecessor (fleet, t);
-  return record->state < BL_STATE_LEFT ? t : NULL;
+  if (record->state < BL_STATE_LEFT)
+    retire_older (fleet, t);
+  return t->record.state < BL_STATE_LEFT ? t : NULL;
 }
 
 void
--- a/core/pass.c
+++ b/core/pass.c
@@ -22,8 +22,9 @@
 
 #define QUIET_MS       150   /* without an answer until a check */
 #define CHECK_MS       250   /* between two checks */
-#define START_CHECK_MS 100   /* the same before the first heartbeat */
+#define START_CHECK_MS 100   /* the same while it is not known to be there */
 #define START_CHECKS   20    /* checks made then, at most */
+#define START_TELL_MS  250   /* without an outcome until others are told */
 #define MISSED_BEATS   3     /* heartbeats missed until a check */
 #define UNSURE_MS      17000 /* flows that live have shown themselves by then */
 #define BORN_SLACK_MS  1500  /* both start together after a loss of power */
@@ -115,7 +116,6 @@
   p->ctx = ctx;
   p->self = settings->self;
   p->self.state = BL_STATE_STARTING;
-  p->self.seq = 1;
   return p;
 }
 
@@ -211,6 +211,7 @@
                   p->beat_ms > 0 ? p->now - p->beat_ms : 0);
   for (size_t i = 0; i < p->watcher_count; i++)
     send_status (p, p->watchers[i].addr, true);
+  p->next_seed_ms = 0;
   p->ops.publish (p->ctx, &p->self);
 }
 
@@ -642,10 +643,12 @@
         set_state (pass, BL_STATE_READY, "connection_accepted");
       return;
     }
-  /* No backend server runs: whichever starts now is seen from its start.  */
+  /* No backend server runs: whichever starts now is seen from its start, and
+     until then there is nothing to ask this agent for.  */
   pass->watched = true;
-  if (pass->self.state != BL_STATE_READY
-      && pass->self.state != BL_STATE_DRAINING)
+  if (pass->self.state == BL_STATE_STARTING)
+    set_state (pass, BL_STATE_LEFT, "no_backend");
+  if (pass->self.state >= BL_STATE_LEFT)
     return;
   forget_all (pass);
   pass->unanswered_ms = 0;
@@ -717,10 +720,9 @@
 {
   pass->now = now;
   if (pass->started_ms == 0)
-    {
-      pass->started_ms = now;
-      announce (pass, "started");
-    }
+    pass->started_ms = now;
+  if (pass->self.seq == 0 && now - pass->started_ms > START_TELL_MS)
+    announce (pass, "no_outcome_yet");
   check_backend (pass);
   if (now >= pass->next_sweep_ms)
     {
@@ -730,7 +732,8 @@
   if (now >= pass->next_seed_ms)
     {
       pass->next_seed_ms = now + LONELY_MS / 3;
-      tell_seeds (pass);
+      if (pass->self.seq > 0)
+        tell_seeds (pass);
     }
 }
 
@@ -769,10 +772,7 @@
   pass->now = now;
   if (pass->self.state >= BL_STATE_LEFT)
     return;
-  if (pass->beat_ms == 0 && pass->watched)
-    set_state (pass, BL_STATE_LEFT, "no_backend");
-  else
-    set_state (pass, BL_STATE_STARTING, "stopping");
+  set_state (pass, BL_STATE_STARTING, "stopping");
 }
 
 const struct bl_record *
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -579,10 +579,48 @@
     }
 }
 
+/* Another instance has taken over an address; the list of the store names both,
+   in either order.  Only the younger is asked, and its word counts.  */
+static void
+test_address_taken_over (void **state)
+{
+  (void)state;
+  for (int younger_first = 0; younger_first < 2; younger_first++)
+    {
+      struct seen seen = { .resets = 0 };
+      struct bl_dispatch *d = one_balancer (&seen);
+      for (int i = 0; i < 2; i++)
+        {
+          bool younger = (i == 0) == (younger_first == 1);
+          struct bl_record r = {
+            .kind = BL_KIND_BACKEND,
+            .state = BL_STATE_READY,
+            .ip = 11,
+            .data_port = 1,
+            .control_port = 2,
+            .incarnation = younger ? 2 : 1,
+            .seq = 1,
+          };
+          bl_name_set (&r.id, bl_str_of (younger ? "new" : "old"));
+          bl_name_set (&r.dc, bl_str_of ("dc"));
+          bl_name_set (&r.service, bl_str_of ("s"));
+          bl_dispatch_learn (d, 10, &r);
+        }
+      bl_dispatch_listed (d, 10);
+      bl_dispatch_tick (d, 400);
+      send_data (d, 410);
+      assert_int_equal (seen.queries, 1);
+      agent_says (d, 420, 11, BL_LINK_DENIED);
+      assert_int_equal (seen.resets, 1);
+      bl_dispatch_free (d);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_address_taken_over),
     cmocka_unit_test (test_leaves_in_turn),
     cmocka_unit_test (test_all_packets_wait),
     cmocka_unit_test (test_denials_of_a_part),
