Prove the datagram path as processes, and mend what that found

The new stand-ins (store, server, callers) and process_datagram found four faults at once: - a heartbeat or a connection attempt made a stopping agent ready again, so its flows were reset as 'backend_silent' while it restarted; - a balancer that did not know a flow took the silence of an agent on its way back for a denial; - an agent claimed a flow of an older caller at the same port; - an agent took 2.9 s to end, for the HTTP server looks at its stop flag every second or two. Change: see test_pass (states, who may deny, ports used again) and test_agent_returns; connecting to the HTTP server makes it stop at once. Logs go to standard output, never block, and count what they drop.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
 all: programs
 
 programs: $(B)/boragelatchd $(B)/boragelatchctl $(B)/standin-platform \
-          $(B)/standin-backend $(B)/standin-fabric
+          $(B)/standin-backend $(B)/standin-fabric $(B)/standin-store \
+          $(B)/standin-server $(B)/standin-callers
 
 # What runs on the users' machines.
 programs-deployed: $(B)/boragelatchd $(B)/boragelatchctl
@@ -54,6 +55,13 @@
 $(B)/standin-fabric: $(B)/standin/fabric.o $(IO) $(STACK) $(B)/libboragelatch.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS) $(IO_LIBS) -lpopt -llwip
 
+$(B)/standin-store: $(B)/standin/store.o
+	@$(CC) $(CFLAGS) $^ -o $@ -lcivetweb -lpopt -ljansson -lpthread
+
+$(B)/standin-server $(B)/standin-callers: $(B)/standin-%: $(B)/standin/%.o \
+    $(B)/standin/segment.o $(IO) $(B)/libboragelatch.a
+	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS) $(IO_LIBS) -lpopt
+
 $(B)/example: $(B)/examples/example.o $(B)/libboragelatch.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS)
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -440,8 +440,7 @@
     return false;
   if (owner_is_gone (f))
     return true;
-  return f->owner->dark && f->owner->record.state != BL_STATE_STARTING
-         && bl_fleet_sees (&d->fleet);
+  return bl_target_is_gone (f->owner, d->now) && bl_fleet_sees (&d->fleet);
 }
 
 static void
--- a/core/dispatch_inquiry.c
+++ b/core/dispatch_inquiry.c
@@ -12,7 +12,8 @@
    When everybody has denied, the backend server is gone and the caller is
    reset, but only if the packet carries data: one without may belong to a
    flow that both ends have closed; and only if this balancer knows all agents,
-   which takes a moment after its start.  Silence of any agent that is not dark
+   which takes a moment after its start.  An agent that stopped in order to
+   start again is waited for.  Silence of any agent that is not dark
    keeps the answer open, and the packet is dropped.  */
 
 #include "core/dispatch_inner.h"
@@ -113,11 +114,12 @@
 
 /* An agent that is waited for, for the log.  */
 static const struct bl_target *
-first_silent (const struct bl_inquiry *q)
+first_silent (const struct bl_dispatch *d, const struct bl_inquiry *q)
 {
   for (size_t i = 0; i < q->count; i++)
     if (q->asked[i].reply == BL_REPLY_PROBED
-        || (q->asked[i].reply == BL_REPLY_NONE && !q->asked[i].target->dark))
+        || (q->asked[i].reply == BL_REPLY_NONE
+            && !bl_target_is_gone (q->asked[i].target, d->now)))
       return q->asked[i].target;
   return NULL;
 }
@@ -126,7 +128,7 @@
 drop (struct bl_dispatch *d, struct bl_passing *f, const char *why)
 {
   d->counters[BL_DISPATCH_DROPPED]++;
-  bl_dispatch_note (d, "dropped", why, &f->key, first_silent (&f->inquiry),
+  bl_dispatch_note (d, "dropped", why, &f->key, first_silent (d, &f->inquiry),
                     d->now - f->since_ms);
   bl_passing_remove (d, f);
 }
@@ -184,12 +186,13 @@
   return q->probed > 0;
 }
 
-/* Whether every agent that was asked, but dark ones, has answered.  */
+/* Whether every agent that was asked, but those that are gone, has answered. */
 static bool
-all_answered (const struct bl_inquiry *q)
+all_answered (const struct bl_dispatch *d, const struct bl_inquiry *q)
 {
   for (size_t i = 0; i < q->count; i++)
-    if (q->asked[i].reply == BL_REPLY_NONE && !q->asked[i].target->dark)
+    if (q->asked[i].reply == BL_REPLY_NONE
+        && !bl_target_is_gone (q->asked[i].target, d->now))
       return false;
   return true;
 }
@@ -197,7 +200,7 @@
 static void
 go_on (struct bl_dispatch *d, struct bl_passing *f)
 {
-  if (f->inquiry.probed > 0 || !all_answered (&f->inquiry))
+  if (f->inquiry.probed > 0 || !all_answered (d, &f->inquiry))
     return;
   if (!probe_next (d, f))
     nobody (d, f);
@@ -282,7 +285,7 @@
         probes_ran_out (d, f);
       return;
     }
-  if (q->count == 0 || all_answered (q))
+  if (q->count == 0 || all_answered (d, q))
     {
       go_on (d, f);
       return;
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -118,6 +118,15 @@
   return t->record.state < BL_STATE_LEFT ? t : NULL;
 }
 
+bool
+bl_target_is_gone (const struct bl_target *target, uint64_t now)
+{
+  bool returns = target->record.state == BL_STATE_STARTING
+                 && now - target->heard_ms < BL_RETURN_MS;
+
+  return target->dark && !returns;
+}
+
 void
 bl_target_heard (struct bl_target *target, uint64_t now)
 {
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -33,6 +33,9 @@
    before it counts as gone.  */
 #define BL_SUSPECT_MS 150
 #define BL_DARK_MS    1000
+/* How long after its last word an instance that stopped in order to start again
+   is waited for.  */
+#define BL_RETURN_MS 8000
 
 struct bl_fleet
 {
@@ -57,6 +60,9 @@
 /* The target whose packets or messages come from ADDR, or NULL.  */
 struct bl_target *bl_fleet_at (const struct bl_fleet *fleet,
                                struct bl_addr addr);
+/* Whether TARGET is silent for good, as far as can be told: dark, and not on
+   its way back from a stop that it announced.  */
+bool bl_target_is_gone (const struct bl_target *target, uint64_t now);
 void bl_target_heard (struct bl_target *target, uint64_t now);
 /* Notes a question to TARGET, whose silence will count against it.  */
 void bl_target_asked (struct bl_target *target, uint64_t now);
--- a/core/pass.c
+++ b/core/pass.c
@@ -36,7 +36,7 @@
 #define WATCHERS_MAX   1024
 #define ASKERS_MAX     1024
 #define LONELY_MS      1500 /* without a balancer until the seeds are told */
-#define ACK_WINDOW     (1u << 20)
+#define ACK_WINDOW     (1u << 20) /* sequence numbers */
 
 static const char *const counter_names[] = {
   [BL_PASS_DELIVERED] = "packets_delivered",
@@ -56,8 +56,8 @@
   uint64_t touched_ms;
   uint64_t busy_ms; /* since when a request is under way; 0: none is */
   uint32_t first_seq;
-  uint32_t iss; /* initial sequence number of the backend server */
-  bool iss_known;
+  uint32_t next; /* sequence number that the backend server sends next */
+  bool next_known;
   bool open;
   bool closed;
   bool told; /* the asker knows that the flow is here */
@@ -78,6 +78,7 @@
   void *ctx;
   uint64_t now; /* of the call under way */
   uint64_t started_ms;
+  bool stopping;
   struct bl_record self;
   struct held *flows;
   uint32_t busy;
@@ -296,6 +297,16 @@
   reply (p, to, &link, bytes, len);
 }
 
+/* Whether a caller that expects ACK next means this flow: a port may be used
+   again, and the old flow may still be held here.  */
+static bool
+fits (const struct held *f, uint32_t ack)
+{
+  uint32_t behind = f->next - ack + ACK_WINDOW / 2;
+
+  return f->next_known && behind < ACK_WINDOW;
+}
+
 /* -- packets to the backend server -- */
 
 /* A number that stands for a balancer in what the backend server returns;
@@ -359,7 +370,7 @@
       set_busy (p, f, false);
       f->open = false;
       f->closed = false;
-      f->iss_known = false;
+      f->next_known = false;
     }
   f->first_seq = packet->seq;
   f->told = false;
@@ -381,8 +392,7 @@
       f->touched_ms = p->now;
       f->told = f->told && bl_addr_equal (f->asker, from);
       f->asker = from;
-      f->open
-          = f->open || (f->iss_known && packet->ack - f->iss - 1 < ACK_WINDOW);
+      f->open = f->open || fits (f, packet->ack);
       f->closed = f->closed || (packet->flags & (BL_TCP_FIN | BL_TCP_RST)) != 0;
       if (packet->payload_len > 0)
         set_busy (p, f, true);
@@ -434,8 +444,7 @@
   struct held *f = find (p, &query->key);
   struct bl_link link = { .key = query->key, .ack = query->ack };
 
-  if (f != NULL
-      && (f->open || (f->iss_known && query->ack - f->iss - 1 < ACK_WINDOW)))
+  if (f != NULL && fits (f, query->ack))
     {
       link.type = BL_LINK_OWNED;
       f->asker = from;
@@ -472,14 +481,25 @@
   struct bl_link link
       = { .type = BL_LINK_ACCEPTED, .key = f->key, .seq = packet->seq };
 
-  f->iss = packet->seq;
-  f->iss_known = true;
+  f->next = packet->seq + 1;
+  f->next_known = true;
   f->told = true;
   p->counters[BL_PASS_ACCEPTED]++;
   if (f->asker.port != 0)
     reply (p, f->asker, &link, NULL, 0);
 }
 
+/* Packets may be sent again: only a later end counts.  */
+static void
+note_sent (struct held *f, const struct bl_packet *packet)
+{
+  uint32_t end = packet->seq + packet->payload_len;
+
+  if (!f->next_known || (int32_t)(end - f->next) > 0)
+    f->next = end;
+  f->next_known = true;
+}
+
 static void
 note_outgoing (struct bl_pass *p, const struct bl_packet *packet)
 {
@@ -495,6 +515,7 @@
       return;
     }
   f->open = true;
+  note_sent (f, packet);
   if (packet->payload_len > 0)
     set_busy (p, f, false);
   if (packet->flags & (BL_TCP_FIN | BL_TCP_RST))
@@ -614,7 +635,9 @@
   pass->counters[BL_PASS_HEARTBEATS]++;
   pass->beat_seq = beat->seq;
   pass->beat_ms = now;
-  if (same && state == pass->self.state && beat->slots == pass->self.slots)
+  /* What a stopping agent has said of itself stays.  */
+  if (pass->stopping
+      || (same && state == pass->self.state && beat->slots == pass->self.slots))
     return BL_OK;
   pass->self.slots = beat->slots;
   pass->self.state = state;
@@ -639,13 +662,15 @@
   pass->now = now;
   if (alive)
     {
-      if (pass->self.state == BL_STATE_STARTING)
+      if (pass->self.state == BL_STATE_STARTING && !pass->stopping)
         set_state (pass, BL_STATE_READY, "connection_accepted");
       return;
     }
   /* No backend server runs: whichever starts now is seen from its start, and
      until then there is nothing to ask this agent for.  */
   pass->watched = true;
+  if (pass->stopping)
+    return;
   if (pass->self.state == BL_STATE_STARTING)
     set_state (pass, BL_STATE_LEFT, "no_backend");
   if (pass->self.state >= BL_STATE_LEFT)
@@ -664,7 +689,7 @@
       = p->beat_ms != 0
         && p->now - p->beat_ms > MISSED_BEATS * p->settings.heartbeat_ms;
 
-  if (p->self.state >= BL_STATE_LEFT || p->left)
+  if (p->stopping || p->self.state >= BL_STATE_LEFT || p->left)
     return;
   if (starting && p->start_checks < START_CHECKS
       && p->now - p->checked_ms >= START_CHECK_MS)
@@ -772,6 +797,7 @@
   pass->now = now;
   if (pass->self.state >= BL_STATE_LEFT)
     return;
+  pass->stopping = true;
   set_state (pass, BL_STATE_STARTING, "stopping");
 }
 
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -10,12 +10,15 @@
 
 #include <civetweb.h>
 #include <jansson.h>
+#include <pthread.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #define ADDED_MAX 4
+#define WAKE_MS   10    /* between two connections that wake the server */
 #define BODY_MAX  65536 /* bytes of a request */
 
 struct admin;
@@ -30,6 +33,8 @@
 struct admin
 {
   struct mg_context *http;
+  struct bl_addr addr;
+  volatile bool stopped;
   struct admin_ops ops;
   void *ctx;
   size_t added_count;
@@ -241,6 +246,7 @@
     return NULL;
   a->ops = *ops;
   a->ctx = ctx;
+  a->addr = addr;
   bl_addr_format (addr, listen);
   mg_init_library (0);
   a->http = mg_start (NULL, NULL, options);
@@ -257,11 +263,37 @@
   return a;
 }
 
+static void *
+stop_server (void *ctx)
+{
+  struct admin *a = ctx;
+
+  mg_stop (a->http);
+  a->stopped = true;
+  return NULL;
+}
+
+/* The server looks at its stop flag only when something connects, or after
+   seconds; connecting to it makes it look at once.  */
 void
 admin_stop (struct admin *admin)
 {
+  pthread_t thread;
+
   if (admin == NULL)
     return;
-  mg_stop (admin->http);
+  if (pthread_create (&thread, NULL, stop_server, admin) != 0)
+    mg_stop (admin->http);
+  else
+    {
+      while (!admin->stopped)
+        {
+          int fd = io_tcp_connect (admin->addr);
+          usleep (WAKE_MS * 1000);
+          if (fd >= 0)
+            close (fd);
+        }
+      pthread_join (thread, NULL);
+    }
   free (admin);
 }
--- a/io/io.h
+++ b/io/io.h
@@ -22,7 +22,7 @@
   IO_DEBUG,
 };
 
-/* Opens the log on standard error.  LEVEL is "error", "warn", "info" or
+/* Opens the log on standard output.  LEVEL is "error", "warn", "info" or
    "debug"; BL_EFORMAT for anything else.  */
 int io_log_open (const char *level);
 void io_log_close (void);
@@ -119,6 +119,9 @@
 /* Connects a non-blocking TCP socket; returns the descriptor or -1.  */
 int io_tcp_connect (struct bl_addr to);
 
+/* Listens on ADDR, non-blocking; returns the descriptor or -1.  */
+int io_tcp_listen (struct bl_addr addr);
+
 /* -- bulk transfers over ZeroMQ -- */
 
 /* Answers requests, asks others, and hands replies back.  */
--- a/io/log.c
+++ b/io/log.c
@@ -1,12 +1,18 @@
-/* log.c -- one line of key=value pairs for each event, through log4c  */
+/* log.c -- one line of key=value pairs for each event, through log4c
+
+   Lines go to standard output, one write each.  When whoever reads it does not
+   keep up, lines are dropped and counted, and the next one that passes tells
+   how many: logging never holds a process up.  */
 
 #include "io/io.h"
 
 #include <log4c.h>
+#include <poll.h>
 #include <stdarg.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #define LINE_MAX_BYTES 1024
 
@@ -55,6 +61,43 @@
   .format = format_line,
 };
 
+/* A pipe that is ready takes a whole line, for lines are shorter than what it
+   takes at once.  */
+static bool
+can_write (void)
+{
+  struct pollfd fd = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+  return poll (&fd, 1, 0) == 1 && (fd.revents & POLLOUT) != 0;
+}
+
+static int
+append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  static __thread char line[LINE_MAX_BYTES + 128];
+  static unsigned long dropped;
+  unsigned long before;
+  int len;
+
+  (void)appender;
+  if (!can_write ())
+    {
+      __atomic_add_fetch (&dropped, 1, __ATOMIC_RELAXED);
+      return 0;
+    }
+  before = __atomic_exchange_n (&dropped, 0, __ATOMIC_RELAXED);
+  len = snprintf (line, sizeof line, "%s", event->evt_rendered_msg);
+  if (before > 0)
+    len = snprintf (line, sizeof line, "%.*s dropped_lines=%lu\n", len - 1,
+                    event->evt_rendered_msg, before);
+  return write (STDOUT_FILENO, line, (size_t)len) == len ? 0 : -1;
+}
+
+static const log4c_appender_type_t appender_type = {
+  .name = "standard_output",
+  .append = append_line,
+};
+
 int
 io_log_open (const char *level)
 {
@@ -69,9 +112,11 @@
     return BL_EFORMAT;
   log4c_init ();
   log4c_layout_type_set (&layout_type);
+  log4c_appender_type_set (&appender_type);
   layout = log4c_layout_get ("key_value");
   log4c_layout_set_type (layout, &layout_type);
-  appender = log4c_appender_get ("stderr");
+  appender = log4c_appender_get ("standard_output");
+  log4c_appender_set_type (appender, &appender_type);
   log4c_appender_set_layout (appender, layout);
   category = log4c_category_get ("boragelatch");
   log4c_category_set_appender (category, appender);
--- a/io/udp.c
+++ b/io/udp.c
@@ -201,3 +201,22 @@
     }
   return fd;
 }
+
+int
+io_tcp_listen (struct bl_addr addr)
+{
+  int fd = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  struct sockaddr_in sa = to_sockaddr (addr);
+  int on = 1;
+
+  if (fd < 0)
+    return -1;
+  setsockopt (fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (bind (fd, (struct sockaddr *)&sa, sizeof sa) != 0
+      || listen (fd, SOMAXCONN) != 0)
+    {
+      close (fd);
+      return -1;
+    }
+  return fd;
+}
--- /dev/null
+++ b/standin/segment.c
@@ -0,0 +1,99 @@
+/* segment.c -- packets as callers and backend servers of the users' platform
+   write and read them
+
+   The sum covers all fields but those that may be changed on the way, so an
+   end finds out whether its peer wrote a packet as it came.  */
+
+#include "standin/segment.h"
+
+#include <string.h>
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#define SUM_SEED 0x5eed5eed /* stands for the platform's key */
+
+static void
+put (uint8_t **at, size_t width, uint32_t value)
+{
+  for (size_t i = 0; i < width; i++)
+    (*at)[i] = (uint8_t)(value >> (8 * (width - 1 - i)));
+  *at += width;
+}
+
+static uint32_t
+get (const uint8_t **at, size_t width)
+{
+  uint32_t value = 0;
+
+  for (size_t i = 0; i < width; i++)
+    value = value << 8 | (*at)[i];
+  *at += width;
+  return value;
+}
+
+static uint32_t
+sum_of (const uint8_t *buf, size_t len)
+{
+  uint8_t copy[SEGMENT_HEAD + SEGMENT_DATA_MAX];
+
+  memcpy (copy, buf, len);
+  copy[12] &= (uint8_t)~SEGMENT_RETURNED;
+  memset (copy + 13, 0, 5);
+  memset (copy + 26, 0, 4);
+  memset (copy + 32, 0, 4);
+  return (uint32_t)XXH3_64bits_withSeed (copy, len, SUM_SEED);
+}
+
+size_t
+segment_write (const struct segment *s, uint8_t *buf)
+{
+  uint8_t *at = buf;
+  size_t len = SEGMENT_HEAD + s->len;
+
+  put (&at, 4, s->dst);
+  put (&at, 4, s->src);
+  put (&at, 2, s->dport);
+  put (&at, 2, s->sport);
+  put (&at, 1, s->flags);
+  memset (at, 0, 5);
+  at += 5;
+  put (&at, 4, s->seq);
+  put (&at, 4, s->ack);
+  put (&at, 4, s->echo);
+  put (&at, 2, s->len);
+  put (&at, 4, 0);
+  if (s->len > 0)
+    memcpy (at, s->data, s->len);
+  at = buf + SEGMENT_HEAD - 4;
+  put (&at, 4, sum_of (buf, len));
+  return len;
+}
+
+bool
+segment_read (struct segment *s, const uint8_t *buf, size_t len)
+{
+  const uint8_t *at = buf;
+
+  if (len < SEGMENT_HEAD || len > SEGMENT_HEAD + SEGMENT_DATA_MAX)
+    return false;
+  s->dst = get (&at, 4);
+  s->src = get (&at, 4);
+  s->dport = (uint16_t)get (&at, 2);
+  s->sport = (uint16_t)get (&at, 2);
+  s->flags = (uint8_t)get (&at, 1);
+  at += 5;
+  s->seq = get (&at, 4);
+  s->ack = get (&at, 4);
+  s->echo = get (&at, 4);
+  s->len = (uint16_t)get (&at, 2);
+  s->sum = get (&at, 4);
+  s->data = at;
+  return s->len == len - SEGMENT_HEAD;
+}
+
+bool
+segment_is_genuine (const struct segment *s, const uint8_t *buf)
+{
+  return s->sum == sum_of (buf, SEGMENT_HEAD + (size_t)s->len);
+}
--- /dev/null
+++ b/standin/store.c
@@ -0,0 +1,385 @@
+/* store.c -- stand-in for the users' object store
+
+   Objects by kind and name over HTTP, with one revision counter, lists in
+   pages, conditional writes and watches; all in memory.  POST /fault switches
+   faults:
+     mode=down | up     every call is answered 503
+     lose_answers=N     the next N writes are done and not answered
+     forget=1           the history is dropped; watches of before get 410
+   GET /stats counts calls.  */
+
+#include <civetweb.h>
+#include <jansson.h>
+#include <popt.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <uthash.h>
+
+#define KEY_MAX_BYTES  160
+#define BODY_MAX_BYTES (1024 * 1024)
+#define PAGE           50 /* objects in one answer */
+#define PREFIX         "/v1/objects/"
+
+/* One object; a removed one is kept, for watches.  */
+struct object
+{
+  char key[KEY_MAX_BYTES]; /* kind/name */
+  uint64_t revision;
+  bool removed;
+  json_t *json; /* meta, spec, status */
+  UT_hash_handle hh;
+};
+
+static struct
+{
+  pthread_mutex_t mutex;
+  pthread_cond_t changed;
+  struct object *objects;
+  uint64_t revision;
+  uint64_t forgotten; /* watches from before this get 410 */
+  bool down;
+  int lose_answers;
+  uint64_t calls;
+} state = {
+  .mutex = PTHREAD_MUTEX_INITIALIZER,
+  .changed = PTHREAD_COND_INITIALIZER,
+  .revision = 1,
+};
+
+static volatile sig_atomic_t stopped;
+
+static void
+on_signal (int sig)
+{
+  (void)sig;
+  stopped = 1;
+}
+
+static int
+respond (struct mg_connection *conn, int status, json_t *json)
+{
+  char *text = json != NULL ? json_dumps (json, JSON_COMPACT) : strdup ("{}");
+
+  mg_printf (conn,
+             "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+             "Content-Length: %zu\r\n\r\n%s",
+             status, mg_get_response_code_text (conn, status), strlen (text),
+             text);
+  free (text);
+  json_decref (json);
+  return status;
+}
+
+static struct object *
+find (const char *key)
+{
+  struct object *o;
+
+  HASH_FIND_STR (state.objects, key, o);
+  return o;
+}
+
+static int
+by_key (const struct object *a, const struct object *b)
+{
+  return strcmp (a->key, b->key);
+}
+
+static bool
+is_of_kind (const struct object *o, const char *kind)
+{
+  size_t len = strlen (kind);
+  return strncmp (o->key, kind, len) == 0 && o->key[len] == '/';
+}
+
+static unsigned long
+query_number (const struct mg_request_info *info, const char *name)
+{
+  char text[32] = "";
+
+  if (info->query_string != NULL)
+    mg_get_var (info->query_string, strlen (info->query_string), name, text,
+                sizeof text);
+  return strtoul (text, NULL, 10);
+}
+
+/* -- reading -- */
+
+static json_t *
+list (const struct mg_request_info *info, const char *kind)
+{
+  char after[KEY_MAX_BYTES] = "";
+  json_t *items = json_array ();
+  bool more = false;
+  struct object *o;
+  struct object *next;
+
+  if (info->query_string != NULL)
+    mg_get_var (info->query_string, strlen (info->query_string), "after", after,
+                sizeof after);
+  HASH_SORT (state.objects, by_key);
+  HASH_ITER (hh, state.objects, o, next)
+  {
+    if (o->removed || !is_of_kind (o, kind)
+        || strcmp (o->key + strlen (kind) + 1, after) <= 0)
+      continue;
+    more = json_array_size (items) == PAGE;
+    if (more)
+      break;
+    json_array_append (items, o->json);
+  }
+  return json_pack ("{s:o, s:b, s:I}", "items", items, "hasMore", (int)more,
+                    "currentRev", (json_int_t)state.revision);
+}
+
+static json_t *
+changes_since (const char *kind, uint64_t revision)
+{
+  json_t *events = json_array ();
+  struct object *o;
+  struct object *next;
+
+  HASH_ITER (hh, state.objects, o, next)
+  if (o->revision > revision && is_of_kind (o, kind))
+    json_array_append_new (events,
+                           json_pack ("{s:b, s:O}", "removed", (int)o->removed,
+                                      "object", o->json));
+  return events;
+}
+
+/* Waits with the mutex held.  NULL: the history is gone.  */
+static json_t *
+watch (const char *kind, uint64_t revision, unsigned long wait_ms)
+{
+  struct timespec until;
+  json_t *events = NULL;
+
+  clock_gettime (CLOCK_REALTIME, &until);
+  until.tv_sec += (time_t)(wait_ms / 1000);
+  until.tv_nsec += (long)(wait_ms % 1000) * 1000000;
+  until.tv_sec += until.tv_nsec / 1000000000;
+  until.tv_nsec %= 1000000000;
+  for (;;)
+    {
+      if (revision < state.forgotten)
+        return NULL;
+      events = changes_since (kind, revision);
+      if (json_array_size (events) > 0 || stopped
+          || pthread_cond_timedwait (&state.changed, &state.mutex, &until) != 0)
+        break;
+      json_decref (events);
+    }
+  return json_pack ("{s:o, s:I}", "events", events, "currentRev",
+                    (json_int_t)state.revision);
+}
+
+static int
+on_get (struct mg_connection *conn, const char *key)
+{
+  const struct mg_request_info *info = mg_get_request_info (conn);
+  struct object *o;
+  json_t *json;
+
+  if (strchr (key, '/') != NULL)
+    {
+      o = find (key);
+      return o != NULL && !o->removed
+                 ? respond (conn, 200, json_incref (o->json))
+                 : respond (conn, 404, NULL);
+    }
+  if (info->query_string == NULL
+      || strstr (info->query_string, "watch=") == NULL)
+    return respond (conn, 200, list (info, key));
+  json = watch (key, query_number (info, "watch"),
+                query_number (info, "waitMs"));
+  return json != NULL ? respond (conn, 200, json) : respond (conn, 410, NULL);
+}
+
+/* -- writing -- */
+
+static int
+answer_write (struct mg_connection *conn, json_t *json)
+{
+  pthread_cond_broadcast (&state.changed);
+  if (state.lose_answers > 0)
+    {
+      state.lose_answers--;
+      json_decref (json);
+      mg_close_connection (conn);
+      return 200;
+    }
+  return respond (conn, 200, json);
+}
+
+static struct object *
+make (const char *key)
+{
+  struct object *o = calloc (1, sizeof *o);
+
+  snprintf (o->key, sizeof o->key, "%s", key);
+  o->removed = true;
+  HASH_ADD_STR (state.objects, key, o);
+  return o;
+}
+
+static void
+set (struct object *o, const char *name, json_t *spec)
+{
+  o->revision = ++state.revision;
+  o->removed = false;
+  json_decref (o->json);
+  o->json = json_pack ("{s:{s:s, s:I, s:[], s:b}, s:o, s:n}", "meta", "name",
+                       name, "revision", (json_int_t)o->revision, "finalizers",
+                       "deletionPending", 0, "spec", spec, "status");
+}
+
+static int
+on_write (struct mg_connection *conn,
+          const char *path,
+          bool create,
+          json_t *body)
+{
+  const json_t *meta = json_object_get (body, "meta");
+  const char *name = json_string_value (json_object_get (meta, "name"));
+  uint64_t revision
+      = (uint64_t)json_integer_value (json_object_get (meta, "revision"));
+  json_t *spec = json_incref (json_object_get (body, "spec"));
+  char key[KEY_MAX_BYTES];
+  struct object *o;
+
+  if (name == NULL || spec == NULL)
+    return respond (conn, 400, NULL);
+  snprintf (key, sizeof key, create ? "%s/%s" : "%s", path, name);
+  o = find (key);
+  if ((o == NULL || o->removed) && !create)
+    return respond (conn, 404, NULL);
+  if (o != NULL && !o->removed
+      && (create || (revision != 0 && revision != o->revision)))
+    return respond (conn, 409, json_incref (o->json));
+  set (o != NULL ? o : make (key), name, spec);
+  return answer_write (conn, json_incref (find (key)->json));
+}
+
+static int
+on_delete (struct mg_connection *conn, const char *key)
+{
+  struct object *o = find (key);
+
+  if (o == NULL || o->removed)
+    return respond (conn, 404, NULL);
+  o->removed = true;
+  o->revision = ++state.revision;
+  return answer_write (conn, json_object ());
+}
+
+static json_t *
+read_body (struct mg_connection *conn)
+{
+  char *body = malloc (BODY_MAX_BYTES);
+  size_t len = 0;
+  json_t *json;
+  int n;
+
+  while (body != NULL && len < BODY_MAX_BYTES
+         && (n = mg_read (conn, body + len, BODY_MAX_BYTES - len)) > 0)
+    len += (size_t)n;
+  json = body != NULL ? json_loadb (body, len, 0, NULL) : NULL;
+  free (body);
+  return json;
+}
+
+static int
+on_objects (struct mg_connection *conn, void *ctx)
+{
+  const struct mg_request_info *info = mg_get_request_info (conn);
+  const char *path = info->local_uri + strlen (PREFIX);
+  const char *method = info->request_method;
+  json_t *body = strcmp (method, "GET") != 0 ? read_body (conn) : NULL;
+  int status = 405;
+
+  (void)ctx;
+  pthread_mutex_lock (&state.mutex);
+  state.calls++;
+  if (state.down)
+    status = respond (conn, 503, NULL);
+  else if (strcmp (method, "GET") == 0)
+    status = on_get (conn, path);
+  else if (strcmp (method, "DELETE") == 0)
+    status = on_delete (conn, path);
+  else
+    status = on_write (conn, path, strcmp (method, "POST") == 0, body);
+  pthread_mutex_unlock (&state.mutex);
+  json_decref (body);
+  return status;
+}
+
+static int
+on_fault (struct mg_connection *conn, void *ctx)
+{
+  char body[256] = "";
+  char value[32];
+  int len = mg_read (conn, body, sizeof body - 1);
+
+  (void)ctx;
+  if (len < 0)
+    len = 0;
+  pthread_mutex_lock (&state.mutex);
+  if (mg_get_var (body, (size_t)len, "mode", value, sizeof value) > 0)
+    state.down = strcmp (value, "down") == 0;
+  if (mg_get_var (body, (size_t)len, "lose_answers", value, sizeof value) > 0)
+    state.lose_answers = atoi (value);
+  if (mg_get_var (body, (size_t)len, "forget", value, sizeof value) > 0)
+    state.forgotten = state.revision + 1;
+  pthread_cond_broadcast (&state.changed);
+  pthread_mutex_unlock (&state.mutex);
+  return respond (conn, 200, NULL);
+}
+
+static int
+on_stats (struct mg_connection *conn, void *ctx)
+{
+  (void)ctx;
+  return respond (conn, 200,
+                  json_pack ("{s:I, s:I}", "calls", (json_int_t)state.calls,
+                             "revision", (json_int_t)state.revision));
+}
+
+int
+main (int argc, const char **argv)
+{
+  char *listen = NULL;
+  struct poptOption table[] = { { "listen", 0, POPT_ARG_STRING, &listen, 0,
+                                  "IP:PORT to listen on", NULL },
+                                POPT_AUTOHELP POPT_TABLEEND };
+  poptContext popt = poptGetContext (NULL, argc, argv, table, 0);
+  const char *options[]
+      = { "listening_ports", NULL, "num_threads", "120", NULL };
+  struct mg_context *http;
+
+  if (poptGetNextOpt (popt) < -1 || listen == NULL)
+    {
+      fprintf (stderr, "standin-store: --listen IP:PORT\n");
+      return 2;
+    }
+  signal (SIGTERM, on_signal);
+  signal (SIGINT, on_signal);
+  options[1] = listen;
+  mg_init_library (0);
+  http = mg_start (NULL, NULL, options);
+  if (http == NULL)
+    return 1;
+  mg_set_request_handler (http, PREFIX "**", on_objects, NULL);
+  mg_set_request_handler (http, "/fault$", on_fault, NULL);
+  mg_set_request_handler (http, "/stats$", on_stats, NULL);
+  while (!stopped)
+    pause ();
+  return 0;
+}
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -616,10 +616,47 @@
     }
 }
 
+/* An agent says that it stops and comes back; meanwhile it answers nothing, and
+   its silence is not taken for a denial.  */
+static void
+test_agent_returns (void **state)
+{
+  struct seen seen = { .resets = 0 };
+  struct bl_dispatch *d = one_balancer (&seen);
+  struct bl_record r = {
+    .kind = BL_KIND_BACKEND,
+    .state = BL_STATE_STARTING,
+    .ip = 12,
+    .data_port = 1,
+    .control_port = 2,
+    .incarnation = 1,
+    .seq = 2,
+  };
+
+  (void)state;
+  bl_name_set (&r.id, bl_str_of ("a12"));
+  bl_name_set (&r.dc, bl_str_of ("dc"));
+  bl_name_set (&r.service, bl_str_of ("s"));
+  learn_agent (d, 10, 11, "s");
+  learn_agent (d, 10, 12, "s");
+  bl_dispatch_listed (d, 10);
+  agent_says (d, 390, 12, BL_LINK_DENIED);
+  bl_dispatch_learn (d, 400, &r);
+  for (uint64_t now = 410; now < 3000; now += 200)
+    {
+      bl_dispatch_tick (d, now);
+      send_data (d, now);
+      agent_says (d, now + 10, 11, BL_LINK_DENIED);
+    }
+  assert_int_equal (seen.resets, 0);
+  bl_dispatch_free (d);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_agent_returns),
     cmocka_unit_test (test_address_taken_over),
     cmocka_unit_test (test_leaves_in_turn),
     cmocka_unit_test (test_all_packets_wait),
--- /dev/null
+++ b/test/test_pass.c
@@ -0,0 +1,421 @@
+/* test_pass.c -- an agent whose backend server ends flows itself, step by step
+
+   Each case is a list of steps and the state that the agent then tells.  */
+
+#include "core/pass.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define INCARNATION 100000 /* milliseconds since 1970 */
+#define ASK_ACK     51     /* that agents are asked about */
+
+/* What the agent asked its surroundings for.  */
+struct seen
+{
+  unsigned delivered;
+  unsigned checks;
+  struct bl_link last; /* told to a balancer */
+  struct bl_record published;
+};
+
+static void
+on_deliver (void *ctx, const uint8_t *packet, size_t len, uint32_t token)
+{
+  (void)packet;
+  (void)len;
+  (void)token;
+  ((struct seen *)ctx)->delivered++;
+}
+
+static void
+on_answer (void *ctx, uint32_t ip, const uint8_t *packet, size_t len)
+{
+  (void)ctx;
+  (void)ip;
+  (void)packet;
+  (void)len;
+}
+
+static void
+on_to_balancer (void *ctx,
+                struct bl_addr to,
+                const struct bl_link *link,
+                const uint8_t *packet,
+                size_t len)
+{
+  (void)to;
+  (void)packet;
+  (void)len;
+  ((struct seen *)ctx)->last = *link;
+}
+
+static void
+on_send (void *ctx, struct bl_addr to, const uint8_t *buf, size_t len)
+{
+  (void)ctx;
+  (void)to;
+  (void)buf;
+  (void)len;
+}
+
+static void
+on_check (void *ctx)
+{
+  ((struct seen *)ctx)->checks++;
+}
+
+static void
+on_publish (void *ctx, const struct bl_record *record)
+{
+  ((struct seen *)ctx)->published = *record;
+}
+
+static void
+on_decided (void *ctx,
+            const char *what,
+            const char *why,
+            const struct bl_flow_key *flow,
+            uint64_t age_ms)
+{
+  (void)ctx;
+  (void)what;
+  (void)why;
+  (void)flow;
+  (void)age_ms;
+}
+
+static const struct bl_pass_ops ops = {
+  .deliver = on_deliver,
+  .answer = on_answer,
+  .to_balancer = on_to_balancer,
+  .send = on_send,
+  .check = on_check,
+  .publish = on_publish,
+  .decided = on_decided,
+};
+
+static struct bl_pass *
+new_agent (struct seen *seen)
+{
+  struct bl_pass_settings settings = {
+    .self = { .kind = BL_KIND_BACKEND, .incarnation = INCARNATION },
+    .heartbeat_ms = 1000,
+  };
+  struct bl_pass *p;
+
+  bl_name_set (&settings.self.id, bl_str_of ("a"));
+  bl_name_set (&settings.self.dc, bl_str_of ("dc"));
+  bl_name_set (&settings.self.service, bl_str_of ("s"));
+  p = bl_pass_new (&settings, &ops, seen);
+  bl_pass_tick (p, 1);
+  return p;
+}
+
+enum step_kind
+{
+  END,
+  ALIVE, /* a connection attempt succeeded */
+  GONE,  /* it was turned down */
+  READY, /* a heartbeat of start A and number B */
+  DRAINING,
+  OTHER, /* a heartbeat of another service */
+  LEAVES,
+  STOP, /* of the agent */
+};
+
+struct step
+{
+  enum step_kind kind;
+  uint64_t a;
+  uint64_t b;
+};
+
+static void
+beat (struct bl_pass *p, uint64_t now, const struct step *step)
+{
+  struct bl_heartbeat b = {
+    .draining = step->kind == DRAINING,
+    .slots = 2,
+    .born = step->a,
+    .seq = step->b,
+  };
+
+  bl_name_set (&b.id, bl_str_of ("i"));
+  bl_name_set (&b.service, bl_str_of (step->kind == OTHER ? "t" : "s"));
+  bl_pass_heartbeat (p, now, &b);
+}
+
+static void
+take_step (struct bl_pass *p, uint64_t now, const struct step *step)
+{
+  struct bl_name id;
+
+  bl_name_set (&id, bl_str_of ("i"));
+  switch (step->kind)
+    {
+    case ALIVE:
+    case GONE:
+      bl_pass_checked (p, now, step->kind == ALIVE);
+      break;
+    case LEAVES:
+      bl_pass_leave (p, now, &id);
+      break;
+    case STOP:
+      bl_pass_stop (p, now);
+      break;
+    default:
+      beat (p, now, step);
+      break;
+    }
+}
+
+static void
+test_states (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    struct step steps[5];
+    enum bl_state want;
+  } cases[] = {
+    { "just started", { { END, 0, 0 } }, BL_STATE_STARTING },
+    { "finds its server", { { ALIVE, 0, 0 } }, BL_STATE_READY },
+    { "finds none", { { GONE, 0, 0 } }, BL_STATE_LEFT },
+    { "it comes later", { { GONE, 0, 0 }, { READY, 9, 1 } }, BL_STATE_READY },
+    { "drains", { { READY, 9, 1 }, { DRAINING, 9, 2 } }, BL_STATE_DRAINING },
+    { "late word that it is ready",
+      { { READY, 9, 1 }, { DRAINING, 9, 3 }, { READY, 9, 2 } },
+      BL_STATE_DRAINING },
+    { "late word of an older start",
+      { { READY, 9, 1 }, { READY, 12, 1 }, { DRAINING, 9, 5 } },
+      BL_STATE_READY },
+    { "starts again under its id, counting anew",
+      { { READY, 9, 7 }, { DRAINING, 9, 8 }, { READY, 12, 1 } },
+      BL_STATE_READY },
+    { "another service's word",
+      { { READY, 9, 1 }, { OTHER, 12, 2 } },
+      BL_STATE_READY },
+    { "leaves", { { READY, 9, 1 }, { LEAVES, 0, 0 } }, BL_STATE_LEFT },
+    { "crashes", { { READY, 9, 1 }, { GONE, 0, 0 } }, BL_STATE_DEAD },
+    { "crashes and comes back",
+      { { READY, 9, 1 }, { GONE, 0, 0 }, { READY, 12, 1 } },
+      BL_STATE_READY },
+    { "the agent stops while its server lives on",
+      { { READY, 9, 1 }, { STOP, 0, 0 } },
+      BL_STATE_STARTING },
+    { "a heartbeat does not undo the stop",
+      { { READY, 9, 1 }, { STOP, 0, 0 }, { READY, 9, 2 } },
+      BL_STATE_STARTING },
+    { "nor does a connection attempt",
+      { { READY, 9, 1 }, { STOP, 0, 0 }, { ALIVE, 0, 0 } },
+      BL_STATE_STARTING },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct seen seen = { .delivered = 0 };
+      struct bl_pass *p = new_agent (&seen);
+      for (size_t s = 0; s < 5 && cases[i].steps[s].kind != END; s++)
+        take_step (p, 10 + s, &cases[i].steps[s]);
+      if (bl_pass_record (p)->state != cases[i].want)
+        fail_msg ("%s: %s", cases[i].name,
+                  bl_state_name (bl_pass_record (p)->state));
+      bl_pass_free (p);
+    }
+}
+
+static const struct bl_flow_key key = { 1, 2, 3, 4 };
+static const struct bl_addr balancer = { 7, 7 };
+
+static void
+send_to_agent (struct bl_pass *p,
+               uint64_t now,
+               const char *service,
+               uint8_t flags)
+{
+  struct bl_name name;
+  struct bl_packet packet = { .key = key, .flags = flags };
+  struct bl_link link = { .type = BL_LINK_PACKET };
+
+  bl_name_set (&name, bl_str_of (service));
+  link.service = bl_name_hash (&name, 0);
+  bl_pass_link (p, now, balancer, &link, &packet, (const uint8_t *)&packet,
+                sizeof packet);
+}
+
+/* Whatever balancers believe, a draining or gone server gets no new flow, and
+   no server a packet that is meant for another service.  */
+static void
+test_first_packets (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    struct step step;
+    const char *service;
+    unsigned delivered;
+    enum bl_link_reason reason;
+  } cases[] = {
+    { "ready", { READY, 9, 1 }, "s", 1, BL_REASON_NONE },
+    { "draining", { DRAINING, 9, 1 }, "s", 0, BL_REASON_DRAINING },
+    { "gone", { GONE, 0, 0 }, "s", 0, BL_REASON_DOWN },
+    { "another service's", { READY, 9, 1 }, "t", 0, BL_REASON_SERVICE },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct seen seen = { .delivered = 0 };
+      struct bl_pass *p = new_agent (&seen);
+      take_step (p, 5, &cases[i].step);
+      send_to_agent (p, 10, cases[i].service, BL_TCP_SYN);
+      if (seen.delivered != cases[i].delivered
+          || seen.last.reason != cases[i].reason)
+        fail_msg ("%s", cases[i].name);
+      bl_pass_free (p);
+    }
+}
+
+static enum bl_link_type
+ask (struct bl_pass *p, struct seen *seen, uint64_t now)
+{
+  struct bl_link link = { .type = BL_LINK_QUERY, .key = key, .ack = ASK_ACK };
+
+  bl_pass_link (p, now, balancer, &link, NULL, NULL, 0);
+  return seen->last.type;
+}
+
+/* Who may deny a flow that it does not know: an agent that would have seen it.
+ */
+static void
+test_who_may_deny (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    struct step step;
+    uint64_t now;
+    enum bl_link_type want;
+  } cases[] = {
+    { "its server is older",
+      { READY, INCARNATION - 60000, 1 },
+      10,
+      BL_LINK_UNSURE },
+    { "its server's start is not known", { ALIVE, 0, 0 }, 10, BL_LINK_UNSURE },
+    { "both started together",
+      { READY, INCARNATION - 300, 1 },
+      10,
+      BL_LINK_DENIED },
+    { "its server is younger",
+      { READY, INCARNATION + 10, 1 },
+      10,
+      BL_LINK_DENIED },
+    { "there is no server", { GONE, 0, 0 }, 10, BL_LINK_DENIED },
+    { "all flows have shown themselves",
+      { READY, INCARNATION - 60000, 1 },
+      20000,
+      BL_LINK_DENIED },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct seen seen = { .delivered = 0 };
+      struct bl_pass *p = new_agent (&seen);
+      take_step (p, 5, &cases[i].step);
+      if (ask (p, &seen, cases[i].now) != cases[i].want)
+        fail_msg ("%s", cases[i].name);
+      bl_pass_free (p);
+    }
+}
+
+/* A flow is known by what its server sends, also after a restart of the
+   agent; what the server returns is told with the packet.  */
+static void
+test_flows (void **state)
+{
+  struct seen seen = { .delivered = 0 };
+  struct bl_pass *p = new_agent (&seen);
+  struct bl_packet out = {
+    .key = key,
+    .flags = BL_TCP_ACK,
+    .seq = ASK_ACK,
+    .payload_len = 1,
+  };
+  struct step ready = { READY, INCARNATION - 60000, 1 };
+
+  (void)state;
+  take_step (p, 5, &ready);
+  assert_int_equal (ask (p, &seen, 10), BL_LINK_UNSURE);
+  bl_pass_outgoing (p, 20, &out, (const uint8_t *)&out, sizeof out);
+  assert_int_equal (ask (p, &seen, 30), BL_LINK_OWNED);
+  send_to_agent (p, 40, "s", BL_TCP_ACK);
+  assert_int_equal (seen.delivered, 1);
+  bl_pass_returned (p, 50, &out, 1, (const uint8_t *)&out, sizeof out);
+  assert_int_equal (seen.last.type, BL_LINK_UNKNOWN);
+  assert_int_equal (bl_pass_flow_count (p), 0);
+  bl_pass_free (p);
+}
+
+/* A port is used again: the flow held here is not the one that is asked for. */
+static void
+test_port_used_again (void **state)
+{
+  struct seen seen = { .delivered = 0 };
+  struct bl_pass *p = new_agent (&seen);
+  struct bl_packet out = {
+    .key = key,
+    .flags = BL_TCP_ACK,
+    .seq = ASK_ACK + 0x40000000,
+    .payload_len = 1,
+  };
+  struct step ready = { READY, INCARNATION + 10, 1 };
+
+  (void)state;
+  take_step (p, 5, &ready);
+  bl_pass_outgoing (p, 20, &out, (const uint8_t *)&out, sizeof out);
+  assert_int_equal (ask (p, &seen, 30), BL_LINK_DENIED);
+  bl_pass_free (p);
+}
+
+/* Silence leads to a connection attempt, not to a verdict.  */
+static void
+test_silence_is_checked (void **state)
+{
+  struct seen seen = { .delivered = 0 };
+  struct bl_pass *p = new_agent (&seen);
+  struct step ready = { READY, 9, 1 };
+  unsigned before;
+
+  (void)state;
+  take_step (p, 5, &ready);
+  before = seen.checks;
+  send_to_agent (p, 100, "s", BL_TCP_SYN);
+  bl_pass_tick (p, 200);
+  assert_int_equal (seen.checks, before);
+  bl_pass_tick (p, 400);
+  assert_int_equal (seen.checks, before + 1);
+  assert_int_equal (bl_pass_record (p)->state, BL_STATE_READY);
+  bl_pass_free (p);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_states),
+    cmocka_unit_test (test_first_packets),
+    cmocka_unit_test (test_who_may_deny),
+    cmocka_unit_test (test_flows),
+    cmocka_unit_test (test_port_used_again),
+    cmocka_unit_test (test_silence_is_checked),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
