Histograms by service and priority; split agent and emulator; demo runs both paths

Change: histograms of accepts, inquiries and service times on the metrics address; core/histogram, pass_backend and emulator_faults are modules of their own; demo runs the datagram deployment too.

--- a/core/admit.c
+++ b/core/admit.c
@@ -20,27 +20,6 @@
 #define RETRY_MIN_MS     1000
 #define RETRY_MAX_MS     30000
 
-void
-bl_histogram_add (struct bl_histogram *h, uint64_t ms)
-{
-  size_t i = 0;
-
-  while (i < BL_HISTOGRAM_BUCKETS - 1 && ms >= (UINT64_C (1) << i))
-    i++;
-  h->counts[i]++;
-  h->sum_ms += ms;
-}
-
-uint64_t
-bl_histogram_count (const struct bl_histogram *h)
-{
-  uint64_t n = 0;
-
-  for (size_t i = 0; i < BL_HISTOGRAM_BUCKETS; i++)
-    n += h->counts[i];
-  return n;
-}
-
 void
 bl_admit_init (struct bl_admit *admit, uint32_t slots, uint64_t seed)
 {
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -7,6 +7,7 @@
 #define BL_DISPATCH_H
 
 #include "core/fleet.h"
+#include "core/histogram.h"
 #include "core/link.h"
 #include "core/table.h"
 
@@ -63,6 +64,18 @@
   BL_DISPATCH_COUNTERS,
 };
 
+/* How long flows of one class take, a class being a service and a priority.  */
+struct bl_dispatch_class
+{
+  struct bl_name service;
+  uint64_t service_hash;
+  uint8_t priority;
+  struct bl_histogram accepts;   /* from a first packet until it is accepted */
+  struct bl_histogram inquiries; /* until the owner of a flow is found */
+};
+
+#define BL_DISPATCH_CLASSES 32 /* further ones count with the last */
+
 struct bl_dispatch *bl_dispatch_new (const struct bl_dispatch_settings *s,
                                      const struct bl_dispatch_ops *ops,
                                      void *ctx);
@@ -113,6 +126,9 @@
 const struct bl_record *bl_dispatch_record (const struct bl_dispatch *d);
 const struct bl_fleet *bl_dispatch_fleet (const struct bl_dispatch *d);
 size_t bl_dispatch_flow_count (const struct bl_dispatch *d);
+/* The classes seen so far.  */
+const struct bl_dispatch_class *
+bl_dispatch_classes (const struct bl_dispatch *d, size_t *count);
 uint64_t bl_dispatch_counter (const struct bl_dispatch *d,
                               enum bl_dispatch_counter counter);
 const char *bl_dispatch_counter_name (enum bl_dispatch_counter counter);
--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -108,6 +108,8 @@
   bool vouched;  /* a balancer that knows all agents held the same records */
   bool has_news; /* other balancers are to be told of newer routes */
   struct bl_buffer buffer;
+  size_t class_count;
+  struct bl_dispatch_class classes[BL_DISPATCH_CLASSES];
   uint64_t counters[BL_DISPATCH_COUNTERS];
 };
 
@@ -142,6 +144,11 @@
                        const struct bl_flow_key *flow,
                        const struct bl_target *target,
                        uint64_t age_ms);
+/* The class of flows of a route at one of its services; NULL without a route.
+ */
+struct bl_dispatch_class *bl_dispatch_class_of (struct bl_dispatch *d,
+                                                const struct bl_flow_key *key,
+                                                uint64_t service);
 /* Resets the caller and forgets the flow.  */
 void bl_dispatch_end (struct bl_dispatch *d,
                       struct bl_passing *f,
--- a/core/dispatch_inquiry.c
+++ b/core/dispatch_inquiry.c
@@ -156,6 +156,11 @@
        uint64_t born,
        bool send)
 {
+  struct bl_dispatch_class *c
+      = bl_dispatch_class_of (d, &f->key, owner->service);
+
+  if (c != NULL)
+    bl_histogram_add (&c->inquiries, d->now - f->since_ms);
   d->counters[BL_DISPATCH_FOUND]++;
   bl_dispatch_note (d, "owner_found", send ? "claimed" : "not_returned",
                     &f->key, owner, d->now - f->since_ms);
@@ -268,7 +273,7 @@
   for (size_t i = 0; i < q->count; i++)
     if (q->asked[i].reply == BL_REPLY_PROBED)
       only = &q->asked[i];
-  if (q->probed == 1)
+  if (q->probed == 1 && only != NULL)
     found (d, f, only->target, only->target->born, false);
   else
     drop (d, f, "no_answer");
--- a/core/dispatch_place.c
+++ b/core/dispatch_place.c
@@ -297,6 +297,10 @@
     }
   if (link->type == BL_LINK_ACCEPTED)
     {
+      struct bl_dispatch_class *c
+          = bl_dispatch_class_of (d, &f->key, f->service);
+      if (c != NULL)
+        bl_histogram_add (&c->accepts, d->now - f->since_ms);
       bl_passing_wait (d, f, false);
       return;
     }
--- a/core/dispatch_state.c
+++ b/core/dispatch_state.c
@@ -171,3 +171,45 @@
 {
   return counter_names[counter];
 }
+
+const struct bl_dispatch_class *
+bl_dispatch_classes (const struct bl_dispatch *d, size_t *count)
+{
+  *count = d->class_count;
+  return d->classes;
+}
+
+static const struct bl_name *
+service_name (const struct bl_table_route *route, uint64_t service)
+{
+  for (size_t i = 0; i < route->split_count; i++)
+    if (route->splits[i].service_hash == service)
+      return &route->splits[i].service;
+  return NULL;
+}
+
+struct bl_dispatch_class *
+bl_dispatch_class_of (struct bl_dispatch *d,
+                      const struct bl_flow_key *key,
+                      uint64_t service)
+{
+  const struct bl_table_route *route
+      = bl_table_find (d->table, key->dst_ip, key->dst_port);
+  const struct bl_name *name
+      = route != NULL ? service_name (route, service) : NULL;
+  struct bl_dispatch_class *c;
+
+  if (name == NULL)
+    return NULL;
+  for (size_t i = 0; i < d->class_count; i++)
+    if (d->classes[i].service_hash == service
+        && d->classes[i].priority == route->priority)
+      return &d->classes[i];
+  if (d->class_count == BL_DISPATCH_CLASSES)
+    return &d->classes[BL_DISPATCH_CLASSES - 1];
+  c = &d->classes[d->class_count++];
+  c->service = *name;
+  c->service_hash = service;
+  c->priority = route->priority;
+  return c;
+}
--- a/core/pass.c
+++ b/core/pass.c
@@ -13,30 +13,21 @@
    opening a connection; if that is turned down, it is gone, and balancers
    are told, so that callers of its flows learn at once.  */
 
-#include "core/pass.h"
-#include "core/msg.h"
+#include "core/pass_inner.h"
 
 #include <stdlib.h>
 #include <string.h>
-#include <uthash.h>
-
-#define QUIET_MS       150   /* without an answer until a check */
-#define CHECK_MS       250   /* between two checks */
-#define START_CHECK_MS 100   /* the same while it is not known to be there */
-#define START_CHECKS   20    /* checks made then, at most */
-#define START_TELL_MS  250   /* without an outcome until others are told */
-#define MISSED_BEATS   3     /* heartbeats missed until a check */
-#define UNSURE_MS      17000 /* flows that live have shown themselves by then */
-#define BORN_SLACK_MS  1500  /* both start together after a loss of power */
-#define IDLE_MS        20000 /* until a flow is forgotten */
-#define CLOSED_MS      3000  /* the same once an end has closed it */
-#define BUSY_MAX_MS    8000  /* an answer that late will not come */
-#define SWEEP_MS       1000
-#define WATCHER_MS     10000 /* a balancer that asked is told for so long */
-#define WATCHERS_MAX   1024
-#define ASKERS_MAX     1024
-#define LONELY_MS      1500 /* without a balancer until the seeds are told */
-#define ACK_WINDOW     (1u << 20) /* sequence numbers */
+
+#define START_TELL_MS 250   /* without an outcome until others are told */
+#define UNSURE_MS     17000 /* flows that live have shown themselves by then */
+#define BORN_SLACK_MS 1500  /* both start together after a loss of power */
+#define IDLE_MS       20000 /* until a flow is forgotten */
+#define CLOSED_MS     3000  /* the same once an end has closed it */
+#define BUSY_MAX_MS   8000  /* an answer that late will not come */
+#define SWEEP_MS      1000
+#define WATCHER_MS    10000 /* a balancer that asked is told for so long */
+#define LONELY_MS     1500  /* without a balancer until the seeds are told */
+#define ACK_WINDOW    (1u << 20) /* sequence numbers */
 
 static const char *const counter_names[] = {
   [BL_PASS_DELIVERED] = "packets_delivered",
@@ -50,59 +41,6 @@
   [BL_PASS_BAD_HEARTBEATS] = "heartbeats_ignored",
 };
 
-struct held
-{
-  struct bl_flow_key key;
-  uint64_t touched_ms;
-  uint64_t busy_ms; /* since when a request is under way; 0: none is */
-  uint32_t first_seq;
-  uint32_t next; /* sequence number that the backend server sends next */
-  bool next_known;
-  bool open;
-  bool closed;
-  bool told; /* the asker knows that the flow is here */
-  struct bl_addr asker;
-  UT_hash_handle hh;
-};
-
-struct watcher
-{
-  struct bl_addr addr;
-  uint64_t heard_ms;
-};
-
-struct bl_pass
-{
-  struct bl_pass_settings settings;
-  struct bl_pass_ops ops;
-  void *ctx;
-  uint64_t now; /* of the call under way */
-  uint64_t started_ms;
-  bool stopping;
-  struct bl_record self;
-  struct held *flows;
-  uint32_t busy;
-  /* The backend server.  */
-  struct bl_name backend; /* empty: not known */
-  uint64_t born;
-  uint64_t beat_seq;
-  uint64_t beat_ms; /* last heartbeat; 0: none */
-  bool left;
-  bool watched;           /* no flow can be older than this process */
-  uint64_t unanswered_ms; /* oldest packet without an answer; 0: none */
-  uint64_t checked_ms;
-  unsigned start_checks;
-  /* Balancers.  */
-  size_t watcher_count;
-  struct watcher watchers[WATCHERS_MAX];
-  size_t asker_count;
-  struct bl_addr askers[ASKERS_MAX];
-  uint64_t next_seed_ms;
-  uint64_t next_sweep_ms;
-  struct bl_buffer buffer;
-  uint64_t counters[BL_PASS_COUNTERS];
-};
-
 struct bl_pass *
 bl_pass_new (const struct bl_pass_settings *settings,
              const struct bl_pass_ops *ops,
@@ -121,7 +59,7 @@
 }
 
 static void
-forget (struct bl_pass *p, struct held *f)
+forget (struct bl_pass *p, struct bl_pass_flow *f)
 {
   if (f->busy_ms != 0)
     p->busy--;
@@ -129,11 +67,11 @@
   free (f);
 }
 
-static void
-forget_all (struct bl_pass *p)
+void
+bl_pass_forget_all (struct bl_pass *p)
 {
-  struct held *f;
-  struct held *next;
+  struct bl_pass_flow *f;
+  struct bl_pass_flow *next;
 
   HASH_ITER (hh, p->flows, f, next)
   forget (p, f);
@@ -144,24 +82,24 @@
 {
   if (pass == NULL)
     return;
-  forget_all (pass);
+  bl_pass_forget_all (pass);
   bl_buffer_free (&pass->buffer);
   free (pass);
 }
 
-static struct held *
+static struct bl_pass_flow *
 find (struct bl_pass *p, const struct bl_flow_key *key)
 {
-  struct held *f;
+  struct bl_pass_flow *f;
 
   HASH_FIND (hh, p->flows, key, sizeof *key, f);
   return f;
 }
 
-static struct held *
+static struct bl_pass_flow *
 get (struct bl_pass *p, const struct bl_flow_key *key)
 {
-  struct held *f = find (p, key);
+  struct bl_pass_flow *f = find (p, key);
 
   if (f == NULL)
     {
@@ -176,10 +114,12 @@
 }
 
 static void
-set_busy (struct bl_pass *p, struct held *f, bool busy)
+set_busy (struct bl_pass *p, struct bl_pass_flow *f, bool busy)
 {
   if (busy == (f->busy_ms != 0))
     return;
+  if (!busy)
+    bl_histogram_add (&p->services, p->now - f->busy_ms);
   f->busy_ms = busy ? p->now : 0;
   p->busy += busy ? 1 : -1;
 }
@@ -204,8 +144,8 @@
 }
 
 /* The record changed: everybody is told, and the store.  */
-static void
-announce (struct bl_pass *p, const char *why)
+void
+bl_pass_announce (struct bl_pass *p, const char *why)
 {
   p->self.seq++;
   p->ops.decided (p->ctx, bl_state_name (p->self.state), why, NULL,
@@ -216,14 +156,14 @@
   p->ops.publish (p->ctx, &p->self);
 }
 
-static void
-set_state (struct bl_pass *p, enum bl_state state, const char *why)
+void
+bl_pass_set_state (struct bl_pass *p, enum bl_state state, const char *why)
 {
   /* A stop is told even when nothing else changes.  */
   if (p->self.state == state && state != BL_STATE_STARTING)
     return;
   p->self.state = state;
-  announce (p, why);
+  bl_pass_announce (p, why);
 }
 
 static void
@@ -243,7 +183,7 @@
     }
   if (p->watcher_count < WATCHERS_MAX)
     stalest = p->watcher_count++;
-  p->watchers[stalest] = (struct watcher){ addr, p->now };
+  p->watchers[stalest] = (struct bl_watcher){ addr, p->now };
 }
 
 static void
@@ -300,7 +240,7 @@
 /* Whether a caller that expects ACK next means this flow: a port may be used
    again, and the old flow may still be held here.  */
 static bool
-fits (const struct held *f, uint32_t ack)
+fits (const struct bl_pass_flow *f, uint32_t ack)
 {
   uint32_t behind = f->next - ack + ACK_WINDOW / 2;
 
@@ -355,7 +295,7 @@
           size_t len)
 {
   enum bl_link_reason reason = why_not (p);
-  struct held *f;
+  struct bl_pass_flow *f;
 
   if (reason != BL_REASON_NONE)
     {
@@ -373,6 +313,7 @@
       f->next_known = false;
     }
   f->first_seq = packet->seq;
+  f->offered_ms = p->now;
   f->told = false;
   f->asker = from;
   deliver (p, from, packet, bytes, len);
@@ -385,7 +326,7 @@
           const uint8_t *bytes,
           size_t len)
 {
-  struct held *f = find (p, &packet->key);
+  struct bl_pass_flow *f = find (p, &packet->key);
 
   if (f != NULL)
     {
@@ -441,7 +382,7 @@
 static void
 on_query (struct bl_pass *p, struct bl_addr from, const struct bl_link *query)
 {
-  struct held *f = find (p, &query->key);
+  struct bl_pass_flow *f = find (p, &query->key);
   struct bl_link link = { .key = query->key, .ack = query->ack };
 
   if (f != NULL && fits (f, query->ack))
@@ -476,7 +417,9 @@
 /* -- packets of the backend server -- */
 
 static void
-on_accepted (struct bl_pass *p, struct held *f, const struct bl_packet *packet)
+on_accepted (struct bl_pass *p,
+             struct bl_pass_flow *f,
+             const struct bl_packet *packet)
 {
   struct bl_link link
       = { .type = BL_LINK_ACCEPTED, .key = f->key, .seq = packet->seq };
@@ -484,6 +427,9 @@
   f->next = packet->seq + 1;
   f->next_known = true;
   f->told = true;
+  if (f->offered_ms != 0)
+    bl_histogram_add (&p->accepts, p->now - f->offered_ms);
+  f->offered_ms = 0;
   p->counters[BL_PASS_ACCEPTED]++;
   if (f->asker.port != 0)
     reply (p, f->asker, &link, NULL, 0);
@@ -491,7 +437,7 @@
 
 /* Packets may be sent again: only a later end counts.  */
 static void
-note_sent (struct held *f, const struct bl_packet *packet)
+note_sent (struct bl_pass_flow *f, const struct bl_packet *packet)
 {
   uint32_t end = packet->seq + packet->payload_len;
 
@@ -504,7 +450,7 @@
 note_outgoing (struct bl_pass *p, const struct bl_packet *packet)
 {
   const uint8_t both = BL_TCP_SYN | BL_TCP_ACK;
-  struct held *f = get (p, &packet->key);
+  struct bl_pass_flow *f = get (p, &packet->key);
   struct bl_link link = { .type = BL_LINK_OWNED, .key = packet->key };
 
   if (f == NULL)
@@ -548,7 +494,7 @@
                   const uint8_t *bytes,
                   size_t len)
 {
-  struct held *f = find (pass, &p->key);
+  struct bl_pass_flow *f = find (pass, &p->key);
   struct bl_addr asker = { .port = 0 };
 
   pass->now = now;
@@ -567,152 +513,13 @@
     tell_unknown (pass, asker, p, BL_REASON_NONE, bytes, len);
 }
 
-/* -- the backend server -- */
-
-/* Another process than before: it holds nothing of what was open.  */
-static void
-replace_backend (struct bl_pass *p, const struct bl_heartbeat *beat)
-{
-  forget_all (p);
-  p->backend = beat->id;
-  p->born = beat->born;
-  p->beat_seq = 0;
-  p->unanswered_ms = 0;
-  p->left = false;
-  p->watched = true;
-}
-
-static bool
-is_same_backend (const struct bl_pass *p, const struct bl_heartbeat *beat)
-{
-  if (!bl_name_equal (&p->backend, &beat->id))
-    return false;
-  return p->born == 0 || beat->born == 0 || p->born == beat->born;
-}
-
-static bool
-is_late (const struct bl_pass *p, const struct bl_heartbeat *beat)
-{
-  if (p->backend.len == 0)
-    return false;
-  if (beat->born != 0 && beat->born < p->born)
-    return true;
-  return is_same_backend (p, beat) && beat->seq <= p->beat_seq
-         && beat->seq != 0;
-}
-
-int
-bl_pass_heartbeat (struct bl_pass *pass,
-                   uint64_t now,
-                   const struct bl_heartbeat *beat)
-{
-  enum bl_state state = beat->draining ? BL_STATE_DRAINING : BL_STATE_READY;
-  bool first = pass->backend.len == 0;
-  bool same;
-
-  pass->now = now;
-  if (!bl_name_equal (&beat->service, &pass->self.service))
-    {
-      pass->counters[BL_PASS_BAD_HEARTBEATS]++;
-      pass->ops.decided (pass->ctx, "heartbeat_ignored", "other_service", NULL,
-                         0);
-      return BL_EFORMAT;
-    }
-  if (is_late (pass, beat))
-    {
-      pass->counters[BL_PASS_BAD_HEARTBEATS]++;
-      pass->ops.decided (pass->ctx, "heartbeat_ignored", "late", NULL, 0);
-      return BL_ESTALE;
-    }
-  same = is_same_backend (pass, beat);
-  if (!same && !first)
-    replace_backend (pass, beat);
-  if (first)
-    {
-      pass->backend = beat->id;
-      pass->born = beat->born;
-    }
-  pass->counters[BL_PASS_HEARTBEATS]++;
-  pass->beat_seq = beat->seq;
-  pass->beat_ms = now;
-  /* What a stopping agent has said of itself stays.  */
-  if (pass->stopping
-      || (same && state == pass->self.state && beat->slots == pass->self.slots))
-    return BL_OK;
-  pass->self.slots = beat->slots;
-  pass->self.state = state;
-  announce (pass, same ? "heartbeat" : "heartbeat_of_new_start");
-  return BL_OK;
-}
-
-int
-bl_pass_leave (struct bl_pass *pass, uint64_t now, const struct bl_name *id)
-{
-  pass->now = now;
-  if (!bl_name_equal (&pass->backend, id))
-    return BL_ENOTFOUND;
-  pass->left = true;
-  set_state (pass, BL_STATE_LEFT, "backend_left");
-  return BL_OK;
-}
-
-void
-bl_pass_checked (struct bl_pass *pass, uint64_t now, bool alive)
-{
-  pass->now = now;
-  if (alive)
-    {
-      if (pass->self.state == BL_STATE_STARTING && !pass->stopping)
-        set_state (pass, BL_STATE_READY, "connection_accepted");
-      return;
-    }
-  /* No backend server runs: whichever starts now is seen from its start, and
-     until then there is nothing to ask this agent for.  */
-  pass->watched = true;
-  if (pass->stopping)
-    return;
-  if (pass->self.state == BL_STATE_STARTING)
-    set_state (pass, BL_STATE_LEFT, "no_backend");
-  if (pass->self.state >= BL_STATE_LEFT)
-    return;
-  forget_all (pass);
-  pass->unanswered_ms = 0;
-  set_state (pass, BL_STATE_DEAD, "connection_turned_down");
-}
-
-static void
-check_backend (struct bl_pass *p)
-{
-  bool starting = p->self.state == BL_STATE_STARTING;
-  bool silent = p->unanswered_ms != 0 && p->now - p->unanswered_ms > QUIET_MS;
-  bool missed
-      = p->beat_ms != 0
-        && p->now - p->beat_ms > MISSED_BEATS * p->settings.heartbeat_ms;
-
-  if (p->stopping || p->self.state >= BL_STATE_LEFT || p->left)
-    return;
-  if (starting && p->start_checks < START_CHECKS
-      && p->now - p->checked_ms >= START_CHECK_MS)
-    {
-      p->start_checks++;
-      p->checked_ms = p->now;
-      p->ops.check (p->ctx);
-    }
-  else if (!starting && (silent || missed)
-           && p->now - p->checked_ms >= CHECK_MS)
-    {
-      p->checked_ms = p->now;
-      p->ops.check (p->ctx);
-    }
-}
-
 /* -- time -- */
 
 static void
 sweep (struct bl_pass *p)
 {
-  struct held *f;
-  struct held *next;
+  struct bl_pass_flow *f;
+  struct bl_pass_flow *next;
 
   HASH_ITER (hh, p->flows, f, next)
   {
@@ -747,8 +554,8 @@
   if (pass->started_ms == 0)
     pass->started_ms = now;
   if (pass->self.seq == 0 && now - pass->started_ms > START_TELL_MS)
-    announce (pass, "no_outcome_yet");
-  check_backend (pass);
+    bl_pass_announce (pass, "no_outcome_yet");
+  bl_pass_check_backend (pass);
   if (now >= pass->next_sweep_ms)
     {
       pass->next_sweep_ms = now + SWEEP_MS;
@@ -798,7 +605,7 @@
   if (pass->self.state >= BL_STATE_LEFT)
     return;
   pass->stopping = true;
-  set_state (pass, BL_STATE_STARTING, "stopping");
+  bl_pass_set_state (pass, BL_STATE_STARTING, "stopping");
 }
 
 const struct bl_record *
@@ -836,3 +643,15 @@
 {
   return counter_names[counter];
 }
+
+const struct bl_histogram *
+bl_pass_service_times (const struct bl_pass *pass)
+{
+  return &pass->services;
+}
+
+const struct bl_histogram *
+bl_pass_accept_times (const struct bl_pass *pass)
+{
+  return &pass->accepts;
+}
--- a/core/pass.h
+++ b/core/pass.h
@@ -6,6 +6,7 @@
 #ifndef BL_PASS_H
 #define BL_PASS_H
 
+#include "core/histogram.h"
 #include "core/link.h"
 
 struct bl_pass;
@@ -127,6 +128,10 @@
 bool bl_pass_is_empty (const struct bl_pass *pass);
 size_t bl_pass_flow_count (const struct bl_pass *pass);
 uint32_t bl_pass_busy (const struct bl_pass *pass);
+/* From a request's first packet until its answer begins.  */
+const struct bl_histogram *bl_pass_service_times (const struct bl_pass *pass);
+/* From a first packet until the backend server accepts it.  */
+const struct bl_histogram *bl_pass_accept_times (const struct bl_pass *pass);
 uint64_t bl_pass_counter (const struct bl_pass *pass,
                           enum bl_pass_counter counter);
 const char *bl_pass_counter_name (enum bl_pass_counter counter);
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -84,6 +84,28 @@
   text_add (out, "boragelatch_%s%s %lu\n", name, labels, value);
 }
 
+void
+metric_add_histogram (struct text *out,
+                      const char *name,
+                      const char *labels,
+                      const struct bl_histogram *h)
+{
+  uint64_t count = 0;
+
+  text_add (out, "# TYPE boragelatch_%s histogram\n", name);
+  for (size_t i = 0; i < BL_HISTOGRAM_BUCKETS - 1; i++)
+    {
+      count += h->counts[i];
+      text_add (out, "boragelatch_%s_bucket{%s,le=\"%lu\"} %lu\n", name, labels,
+                UINT64_C (1) << i, count);
+    }
+  count = bl_histogram_count (h);
+  text_add (out, "boragelatch_%s_bucket{%s,le=\"+Inf\"} %lu\n", name, labels,
+            count);
+  text_add (out, "boragelatch_%s_sum{%s} %lu\n", name, labels, h->sum_ms);
+  text_add (out, "boragelatch_%s_count{%s} %lu\n", name, labels, count);
+}
+
 static int
 respond (struct mg_connection *conn,
          int status,
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -272,34 +272,6 @@
   return bl_agent_accepting (a->core);
 }
 
-static void
-add_histogram (struct text *out,
-               const char *name,
-               const char *class_name,
-               const char *service,
-               const struct bl_histogram *h)
-{
-  uint64_t count = 0;
-
-  text_add (out, "# TYPE boragelatch_%s histogram\n", name);
-  for (size_t i = 0; i < BL_HISTOGRAM_BUCKETS - 1; i++)
-    {
-      count += h->counts[i];
-      text_add (out,
-                "boragelatch_%s_bucket{service=\"%s\",class=\"%s\","
-                "le=\"%lu\"} %lu\n",
-                name, service, class_name, UINT64_C (1) << i, count);
-    }
-  text_add (out,
-            "boragelatch_%s_bucket{service=\"%s\",class=\"%s\","
-            "le=\"+Inf\"} %lu\n",
-            name, service, class_name, bl_histogram_count (h));
-  text_add (out, "boragelatch_%s_sum{service=\"%s\",class=\"%s\"} %lu\n", name,
-            service, class_name, h->sum_ms);
-  text_add (out, "boragelatch_%s_count{service=\"%s\",class=\"%s\"} %lu\n",
-            name, service, class_name, bl_histogram_count (h));
-}
-
 /* Waits and services of each class, by the class's name.  */
 static void
 add_classes (const struct agent *a, struct text *out)
@@ -311,10 +283,11 @@
     {
       const char *class_name = s->listeners[i].class_name.s;
       char labels[160];
-      add_histogram (out, "agent_wait_ms", class_name, s->name.s,
-                     &admit->waits[i]);
-      add_histogram (out, "agent_service_ms", class_name, s->name.s,
-                     &admit->services[i]);
+      snprintf (labels, sizeof labels, "service=\"%s\",class=\"%s\"", s->name.s,
+                class_name);
+      metric_add_histogram (out, "agent_wait_ms", labels, &admit->waits[i]);
+      metric_add_histogram (out, "agent_service_ms", labels,
+                            &admit->services[i]);
       snprintf (labels, sizeof labels, "{service=\"%s\",class=\"%s\"}",
                 s->name.s, class_name);
       metric_add (out, "counter", "agent_requests_refused_total", labels,
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -3,6 +3,7 @@
 #ifndef DAEMON_H
 #define DAEMON_H
 
+#include "core/histogram.h"
 #include "daemon/settings.h"
 #include "io/io.h"
 
@@ -82,6 +83,12 @@
                  const char *labels,
                  uint64_t value);
 
+/* Adds a histogram of milliseconds; LABELS without braces.  */
+void metric_add_histogram (struct text *out,
+                           const char *name,
+                           const char *labels,
+                           const struct bl_histogram *h);
+
 /* -- relay -- */
 
 /* Watches the platform on a thread of its own while it is told to.  */
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -342,6 +342,23 @@
   return admin_ready (ctx) ? 200 : 503;
 }
 
+static void
+add_classes (const struct dispatcher *d, struct text *out)
+{
+  size_t count;
+  const struct bl_dispatch_class *all = bl_dispatch_classes (d->core, &count);
+
+  for (size_t i = 0; i < count; i++)
+    {
+      char labels[128];
+      snprintf (labels, sizeof labels, "service=\"%s\",priority=\"%u\"",
+                all[i].service.s, all[i].priority);
+      metric_add_histogram (out, "dispatch_accept_ms", labels, &all[i].accepts);
+      metric_add_histogram (out, "dispatch_inquiry_ms", labels,
+                            &all[i].inquiries);
+    }
+}
+
 static void
 admin_metrics (void *ctx, struct text *out)
 {
@@ -366,6 +383,7 @@
   metric_add (out, "counter", "dispatch_store_calls_total", "",
               registry_calls (d->registry) + follower_calls (d->routes)
                   + follower_calls (d->members));
+  add_classes (d, out);
 }
 
 static json_t *
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -323,6 +323,7 @@
 admin_metrics (void *ctx, struct text *out)
 {
   struct passthrough *p = ctx;
+  char labels[128];
 
   for (int i = 0; i < BL_PASS_COUNTERS; i++)
     {
@@ -335,6 +336,11 @@
   metric_add (out, "gauge", "pass_busy", "", bl_pass_busy (p->core));
   metric_add (out, "counter", "pass_store_calls_total", "",
               registry_calls (p->registry));
+  snprintf (labels, sizeof labels, "service=\"%s\"", p->settings->service.s);
+  metric_add_histogram (out, "pass_accept_ms", labels,
+                        bl_pass_accept_times (p->core));
+  metric_add_histogram (out, "pass_service_ms", labels,
+                        bl_pass_service_times (p->core));
 }
 
 static json_t *
--- a/emulator/emulator.c
+++ b/emulator/emulator.c
@@ -22,7 +22,6 @@
 #define ROUTER_US    500000 /* between two looks at who is ready */
 #define HEARTBEAT_US 1200000
 #define STORE_US     30000 /* until a record has come through the store */
-#define START_US     50000 /* a process is up after */
 #define ROUTES_IP    0xc6120001u
 #define BALANCER_NET 0x0a000000u
 #define AGENT_NET    0x0a010000u
@@ -31,8 +30,8 @@
 #define CONTROL_PORT 2
 #define FIRST_PORT   8000 /* of the first class */
 
-static uint64_t
-now_ms (const struct em *em)
+uint64_t
+em_now_ms (const struct em *em)
 {
   /* The core takes 0 for never.  */
   return em->now_us / 1000 + 1;
@@ -107,22 +106,22 @@
 to_dispatch (struct em *em, struct em_balancer *b, const struct datagram *g)
 {
   if (g->port == TO_DATA)
-    bl_dispatch_link (b->core, now_ms (em), g->from, &g->link,
+    bl_dispatch_link (b->core, em_now_ms (em), g->from, &g->link,
                       g->has_packet ? &g->packet : NULL,
                       (const uint8_t *)&g->packet, sizeof g->packet);
   else
-    bl_dispatch_message (b->core, now_ms (em), g->from, g->bytes, g->len);
+    bl_dispatch_message (b->core, em_now_ms (em), g->from, g->bytes, g->len);
 }
 
 static void
 to_pass (struct em *em, struct em_server *s, const struct datagram *g)
 {
   if (g->port == TO_DATA)
-    bl_pass_link (s->core, now_ms (em), g->from, &g->link,
+    bl_pass_link (s->core, em_now_ms (em), g->from, &g->link,
                   g->has_packet ? &g->packet : NULL,
                   (const uint8_t *)&g->packet, sizeof g->packet);
   else
-    bl_pass_message (s->core, now_ms (em), g->from, g->bytes, g->len);
+    bl_pass_message (s->core, em_now_ms (em), g->from, g->bytes, g->len);
 }
 
 static void
@@ -245,7 +244,7 @@
   struct em_balancer *b = &em->balancers[e->index];
 
   if (is_up (em, &b->process))
-    bl_dispatch_configure (b->core, now_ms (em), em_table (em));
+    bl_dispatch_configure (b->core, em_now_ms (em), em_table (em));
 }
 
 static void
@@ -296,14 +295,15 @@
     }
   if (em->now_us >= b->process.cut_until)
     {
-      bl_dispatch_configure (b->core, now_ms (em), em_table (em));
+      bl_dispatch_configure (b->core, em_now_ms (em), em_table (em));
       for (size_t i = 0; i < em->balancer_count; i++)
         if (em->balancers[i].self.incarnation > 0)
-          bl_dispatch_learn (b->core, now_ms (em), &em->balancers[i].self);
+          bl_dispatch_learn (b->core, em_now_ms (em), &em->balancers[i].self);
       for (size_t i = 0; i < em->server_count; i++)
         if (em->servers[i].published.seq > 0)
-          bl_dispatch_learn (b->core, now_ms (em), &em->servers[i].published);
-      bl_dispatch_listed (b->core, now_ms (em));
+          bl_dispatch_learn (b->core, em_now_ms (em),
+                             &em->servers[i].published);
+      bl_dispatch_listed (b->core, em_now_ms (em));
     }
   em_post (em, 10 * STORE_US, read_store, e->index, 0)->tag = e->tag;
 }
@@ -316,7 +316,7 @@
 
   if (!b->process.alive || e->tag != b->process.generation)
     return;
-  bl_dispatch_tick (b->core, now_ms (em));
+  bl_dispatch_tick (b->core, em_now_ms (em));
   em_post (em, TICK_US, tick_balancer, e->index, 0)->tag = e->tag;
 }
 
@@ -342,8 +342,8 @@
   em_post (em, 1, tick_balancer, index, 0)->tag = b->process.generation;
 }
 
-static void
-restart_balancer (void *ctx, struct event *e)
+void
+em_restart_balancer (void *ctx, struct event *e)
 {
   start_balancer (ctx, e->index);
 }
@@ -422,8 +422,8 @@
   struct em_balancer *b = &em->balancers[e->index];
 
   if (is_up (em, &b->process))
-    bl_dispatch_packet (b->core, now_ms (em), (const struct bl_packet *)e->data,
-                        e->data, e->len);
+    bl_dispatch_packet (b->core, em_now_ms (em),
+                        (const struct bl_packet *)e->data, e->data, e->len);
 }
 
 void
@@ -486,7 +486,7 @@
   struct em_server *s = &em->servers[e->index];
 
   if (s->agent.alive)
-    bl_pass_checked (s->core, now_ms (em), s->alive);
+    bl_pass_checked (s->core, em_now_ms (em), s->alive);
 }
 
 static void
@@ -539,7 +539,7 @@
 
   if (!s->agent.alive || e->tag != s->agent.generation)
     return;
-  bl_pass_tick (s->core, now_ms (em));
+  bl_pass_tick (s->core, em_now_ms (em));
   em_post (em, TICK_US, tick_agent, e->index, 0)->tag = e->tag;
 }
 
@@ -574,8 +574,8 @@
   em_post (em, 1, tick_agent, index, 0)->tag = s->agent.generation;
 }
 
-static void
-restart_agent (void *ctx, struct event *e)
+void
+em_restart_agent (void *ctx, struct event *e)
 {
   start_agent (ctx, e->index);
 }
@@ -586,7 +586,7 @@
                     bool returned,
                     uint32_t token)
 {
-  uint64_t now = now_ms (s->em);
+  uint64_t now = em_now_ms (s->em);
 
   if (!s->agent.alive)
     return;
@@ -598,8 +598,8 @@
                       sizeof *packet);
 }
 
-static void
-heartbeat (void *ctx, struct event *e)
+void
+em_heartbeat (void *ctx, struct event *e)
 {
   struct em *em = ctx;
   struct em_server *s = &em->servers[e->index];
@@ -618,15 +618,15 @@
   bl_name_set (&beat.id, bl_str_of (name));
   if (s->agent.alive)
     {
-      bl_pass_heartbeat (s->core, now_ms (em), &beat);
+      bl_pass_heartbeat (s->core, em_now_ms (em), &beat);
       if (s->draining && s->drained_us == 0)
         s->drained_us = em->now_us;
     }
-  em_post (em, HEARTBEAT_US, heartbeat, e->index, 0)->tag = e->tag;
+  em_post (em, HEARTBEAT_US, em_heartbeat, e->index, 0)->tag = e->tag;
 }
 
-static void
-start_server (void *ctx, struct event *e)
+void
+em_start_server (void *ctx, struct event *e)
 {
   struct em *em = ctx;
   struct em_server *s = &em->servers[e->index];
@@ -639,7 +639,7 @@
   s->drained_us = 0;
   em_post (
       em, bl_random_unit (&em->random) * (s->generation > 1 ? 1 : HEARTBEAT_US),
-      heartbeat, e->index, 0)
+      em_heartbeat, e->index, 0)
       ->tag
       = s->generation;
 }
@@ -656,7 +656,7 @@
   s->agent.dc = dc;
   s->slowness = 1;
   s->ip = AGENT_NET | (uint32_t)index;
-  start_server (em, &(struct event){ .index = index });
+  em_start_server (em, &(struct event){ .index = index });
   start_agent (em, index);
   return index;
 }
@@ -841,108 +841,3 @@
 {
   return em->servers[server].opened;
 }
-
-/* -- faults and planned work -- */
-
-void
-em_kill_balancer (struct em *em, size_t balancer, uint64_t down_ms)
-{
-  em->balancers[balancer].process.alive = false;
-  em_post (em, (double)down_ms * 1000 + START_US, restart_balancer, balancer,
-           0);
-}
-
-void
-em_kill_agent (struct em *em, size_t server, uint64_t down_ms)
-{
-  em->servers[server].agent.alive = false;
-  em_post (em, (double)down_ms * 1000 + START_US, restart_agent, server, 0);
-}
-
-void
-em_stop_agent (struct em *em, size_t server, uint64_t down_ms)
-{
-  bl_pass_stop (em->servers[server].core, now_ms (em));
-  em_kill_agent (em, server, down_ms);
-}
-
-void
-em_crash_server (struct em *em, size_t server, uint64_t down_ms)
-{
-  struct em_server *s = &em->servers[server];
-
-  s->alive = false;
-  em_server_clear (s);
-  if (down_ms > 0)
-    em_post (em, (double)down_ms * 1000, start_server, server, 0);
-}
-
-void
-em_power_off (struct em *em, uint64_t down_ms)
-{
-  const uint64_t spread = 300; /* instances are not back in one moment */
-
-  for (size_t i = 0; i < em->balancer_count; i++)
-    em_kill_balancer (em, i, down_ms + bl_random_below (&em->random, spread));
-  for (size_t i = 0; i < em->server_count; i++)
-    {
-      uint64_t down = down_ms + bl_random_below (&em->random, spread);
-      em_crash_server (em, i, down);
-      em_kill_agent (em, i, down);
-    }
-}
-
-static uint64_t
-cut_end (const struct em *em, uint64_t for_ms)
-{
-  return for_ms > 0 ? em->now_us + for_ms * 1000 : UINT64_MAX;
-}
-
-void
-em_cut_server (struct em *em, size_t server, uint64_t for_ms)
-{
-  em->servers[server].agent.cut_until = cut_end (em, for_ms);
-}
-
-void
-em_cut_balancer (struct em *em, size_t balancer, uint64_t for_ms)
-{
-  em->balancers[balancer].process.cut_until = cut_end (em, for_ms);
-}
-
-void
-em_drain_server (struct em *em, size_t server)
-{
-  struct em_server *s = &em->servers[server];
-
-  s->draining = true;
-  heartbeat (em, &(struct event){ .index = server, .tag = s->generation });
-}
-
-void
-em_store (struct em *em, bool up)
-{
-  em->store_up = up;
-  for (size_t i = 0; up && i < em->server_count; i++)
-    if (em->servers[i].agent.alive)
-      em->servers[i].published = *bl_pass_record (em->servers[i].core);
-}
-
-void
-em_press (struct em *em, double factor)
-{
-  em->pressure = factor;
-}
-
-void
-em_configure (struct em *em, uint64_t version, size_t dropped)
-{
-  em->routes_version = version;
-  em->dropped = dropped;
-}
-
-void
-em_slow_server (struct em *em, size_t server, double slowness)
-{
-  em->servers[server].slowness = slowness;
-}
--- /dev/null
+++ b/emulator/emulator_faults.c
@@ -0,0 +1,108 @@
+/* emulator_faults.c -- faults and planned work, at the present time  */
+
+#include "emulator/emulator_inner.h"
+
+#define START_US 50000 /* a process is up after */
+
+void
+em_kill_balancer (struct em *em, size_t balancer, uint64_t down_ms)
+{
+  em->balancers[balancer].process.alive = false;
+  em_post (em, (double)down_ms * 1000 + START_US, em_restart_balancer, balancer,
+           0);
+}
+
+void
+em_kill_agent (struct em *em, size_t server, uint64_t down_ms)
+{
+  em->servers[server].agent.alive = false;
+  em_post (em, (double)down_ms * 1000 + START_US, em_restart_agent, server, 0);
+}
+
+void
+em_stop_agent (struct em *em, size_t server, uint64_t down_ms)
+{
+  bl_pass_stop (em->servers[server].core, em_now_ms (em));
+  em_kill_agent (em, server, down_ms);
+}
+
+void
+em_crash_server (struct em *em, size_t server, uint64_t down_ms)
+{
+  struct em_server *s = &em->servers[server];
+
+  s->alive = false;
+  em_server_clear (s);
+  if (down_ms > 0)
+    em_post (em, (double)down_ms * 1000, em_start_server, server, 0);
+}
+
+void
+em_power_off (struct em *em, uint64_t down_ms)
+{
+  const uint64_t spread = 300; /* instances are not back in one moment */
+
+  for (size_t i = 0; i < em->balancer_count; i++)
+    em_kill_balancer (em, i, down_ms + bl_random_below (&em->random, spread));
+  for (size_t i = 0; i < em->server_count; i++)
+    {
+      uint64_t down = down_ms + bl_random_below (&em->random, spread);
+      em_crash_server (em, i, down);
+      em_kill_agent (em, i, down);
+    }
+}
+
+static uint64_t
+cut_end (const struct em *em, uint64_t for_ms)
+{
+  return for_ms > 0 ? em->now_us + for_ms * 1000 : UINT64_MAX;
+}
+
+void
+em_cut_server (struct em *em, size_t server, uint64_t for_ms)
+{
+  em->servers[server].agent.cut_until = cut_end (em, for_ms);
+}
+
+void
+em_cut_balancer (struct em *em, size_t balancer, uint64_t for_ms)
+{
+  em->balancers[balancer].process.cut_until = cut_end (em, for_ms);
+}
+
+void
+em_drain_server (struct em *em, size_t server)
+{
+  struct em_server *s = &em->servers[server];
+
+  s->draining = true;
+  em_heartbeat (em, &(struct event){ .index = server, .tag = s->generation });
+}
+
+void
+em_store (struct em *em, bool up)
+{
+  em->store_up = up;
+  for (size_t i = 0; up && i < em->server_count; i++)
+    if (em->servers[i].agent.alive)
+      em->servers[i].published = *bl_pass_record (em->servers[i].core);
+}
+
+void
+em_press (struct em *em, double factor)
+{
+  em->pressure = factor;
+}
+
+void
+em_configure (struct em *em, uint64_t version, size_t dropped)
+{
+  em->routes_version = version;
+  em->dropped = dropped;
+}
+
+void
+em_slow_server (struct em *em, size_t server, double slowness)
+{
+  em->servers[server].slowness = slowness;
+}
--- a/emulator/emulator_inner.h
+++ b/emulator/emulator_inner.h
@@ -126,6 +126,13 @@
 em_key (const struct em *em, size_t user, unsigned class, uint16_t port);
 size_t em_user_of (const struct bl_flow_key *key);
 
+/* The core's clock, in milliseconds.  */
+uint64_t em_now_ms (const struct em *em);
+void em_start_server (void *ctx, struct event *e);
+void em_heartbeat (void *ctx, struct event *e);
+void em_restart_agent (void *ctx, struct event *e);
+void em_restart_balancer (void *ctx, struct event *e);
+
 /* emulator_server.c */
 void em_server_packet (struct em_server *s,
                        const struct bl_packet *packet,
--- a/examples/demo.sh
+++ b/examples/demo.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# demo.sh -- runs both deployments from end to end and accounts for every
+# demo.sh -- runs the example deployments from end to end and accounts for every
 # request; needs the programs in build/
 
 cd "$(dirname "$0")/.." || exit 1
@@ -25,9 +25,34 @@
   jq "[.classes[].$2] | add" "$1"
 }
 
+# Where backend servers end flows themselves, with the stand-ins of the users'
+# platform; result in $1
+run_datagram () (
+  RUN=$(mktemp -d)
+  NET=127.$((1 + RANDOM % 250)).$((1 + RANDOM % 250))
+  . examples/deploy.sh
+  . examples/datagram.sh
+  trap 'stop_all; rm -rf "$RUN"' EXIT
+  deploy_datagram || exit 1
+  echo "== datagram"
+  callers load --users 40 --requests 20 --seed 7
+  wait "${PID_OF[load]}" || status=1
+  grep "^caller" "$RUN/load.out"
+  jq -n --argjson requests "$(result load sent)" \
+    --argjson answered "$(result load answered)" \
+    --argjson refused "$(result load refused)" \
+    --argjson broken "$(($(result load failed) + $(result load cut)))" \
+    '{classes: [{$requests, $answered, $refused, $broken}]}' >"$1"
+  exit ${status:-0}
+)
+
 result=$(mktemp)
-for deployment in rotsuay clinic; do
-  run $deployment "$result" || failed=1
+for deployment in rotsuay clinic datagram; do
+  if [ $deployment = datagram ]; then
+    run_datagram "$result" || failed=1
+  else
+    run $deployment "$result" || failed=1
+  fi
   [ -s "$result" ] || { failed=1; continue; }
   requests=$((requests + $(sum "$result" requests)))
   answered=$((answered + $(sum "$result" answered)))
--- a/standin/callers.c
+++ b/standin/callers.c
@@ -171,7 +171,8 @@
 {
   ++*counter;
   if (counter != &c.answered)
-    printf ("lost %s after_ms=%lu port=%u open=%d\n", u->id, (unsigned long)(io_now_ms () - u->asked_ms), u->port, u->open);
+    printf ("lost %s after_ms=%lu port=%u open=%d\n", u->id,
+            (unsigned long)(io_now_ms () - u->asked_ms), u->port, u->open);
   if (counter != &c.answered && u->once && u->sent)
     printf ("unsure %s\n", u->id);
   if (u->number == (unsigned)c.requests)
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -172,7 +172,8 @@
                                           bl_str_of (cases[i].body), &f);
       if (got != cases[i].want)
         fail_msg ("%s: got %d", cases[i].name, got);
-      if (cases[i].place != NULL && strcmp (f.items[0].place, cases[i].place))
+      if (cases[i].place != NULL
+          && strcmp (f.items[0].place, cases[i].place) != 0)
         fail_msg ("%s: place %s", cases[i].name, f.items[0].place);
     }
 }
