Check a backend server at once when it returns a flow that it held

After srv_crash (gone) an agent learnt of its server's end from missed heartbeats, 2.7 and 3.1 s later; until then new flows were offered to it and idle callers were not told. Ruled out: connection attempts that hang (turned down in 1 ms). Change: a first packet or a packet of a held flow that comes back leads to a connection attempt, four a second at most.

--- a/core/pass.c
+++ b/core/pass.c
@@ -499,6 +499,8 @@
 
   pass->now = now;
   pass->unanswered_ms = 0;
+  /* What held the flow, or took flows before, may have ended.  */
+  pass->doubted = bl_packet_is_first (p) || (f != NULL && f->open);
   if (token > 0 && token <= pass->asker_count)
     asker = pass->askers[token - 1];
   else if (f != NULL)
--- a/core/pass_backend.c
+++ b/core/pass_backend.c
@@ -2,8 +2,9 @@
 
    Heartbeats tell who it is and whether it drains; they are ordered by its
    start and a count, so a late one changes nothing.  A server that leaves
-   packets unanswered, or misses heartbeats, is checked by a connection
-   attempt: only one that is turned down proves that it is gone.  */
+   packets unanswered, returns what it should have taken, or misses heartbeats,
+   is checked by a connection attempt: only one that is turned down proves that
+   it is gone.  */
 
 #include "core/pass_inner.h"
 
@@ -142,10 +143,11 @@
       p->checked_ms = p->now;
       p->ops.check (p->ctx);
     }
-  else if (!starting && (silent || missed)
+  else if (!starting && (silent || missed || p->doubted)
            && p->now - p->checked_ms >= CHECK_MS)
     {
       p->checked_ms = p->now;
+      p->doubted = false;
       p->ops.check (p->ctx);
     }
 }
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -406,6 +406,27 @@
   bl_pass_free (p);
 }
 
+/* A server that returns a flow that it held may have crashed: it is checked at
+   once, not when its heartbeats have been missed.  */
+static void
+test_returned_flow_is_checked (void **state)
+{
+  struct seen seen = { .delivered = 0 };
+  struct bl_pass *p = new_agent (&seen);
+  struct bl_packet out = { .key = key, .flags = BL_TCP_ACK, .payload_len = 1 };
+  struct step ready = { READY, INCARNATION + 10, 1 };
+  unsigned before;
+
+  (void)state;
+  take_step (p, 5, &ready);
+  bl_pass_outgoing (p, 20, &out, (const uint8_t *)&out, sizeof out);
+  before = seen.checks;
+  bl_pass_returned (p, 500, &out, 0, (const uint8_t *)&out, sizeof out);
+  bl_pass_tick (p, 520);
+  assert_int_equal (seen.checks, before + 1);
+  bl_pass_free (p);
+}
+
 int
 main (void)
 {
@@ -416,6 +437,7 @@
     cmocka_unit_test (test_flows),
     cmocka_unit_test (test_port_used_again),
     cmocka_unit_test (test_silence_is_checked),
+    cmocka_unit_test (test_returned_flow_is_checked),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
