--- a/boragelatch.h
+++ b/boragelatch.h
@@ -18,7 +18,7 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define BL_VERSION "0.1.0"
+#define BL_VERSION "0.2.0"
 
 /* -- errors -- */
 
--- a/test/mutations.sh
+++ b/test/mutations.sh
@@ -8,7 +8,7 @@
 cd "$(dirname "$0")/.." || exit 1
 copy=$(mktemp -d)
 trap 'rm -rf "$copy"' EXIT
-cp -r Makefile boragelatch.h core io test "$copy"
+cp -r Makefile boragelatch.h core io emulator platform test "$copy"
 cd "$copy" || exit 1
 passed=0 failed=0
 
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -652,10 +652,58 @@
   bl_dispatch_free (d);
 }
 
+/* A flow lives at a service that its route no longer leads to.  */
+static void
+test_former_service (void **state)
+{
+  struct seen seen = { .resets = 0 };
+  struct bl_dispatch *d = one_balancer (&seen);
+
+  (void)state;
+  learn_agent (d, 10, 11, "s");
+  learn_agent (d, 10, 12, "t");
+  bl_dispatch_listed (d, 10);
+  bl_dispatch_tick (d, 400);
+  send_data (d, 410);
+  agent_says (d, 420, 11, BL_LINK_DENIED);
+  assert_int_equal (seen.resets, 0);
+  agent_says (d, 430, 12, BL_LINK_OWNED);
+  assert_int_equal (seen.packets, 1);
+  bl_dispatch_free (d);
+}
+
+/* The owner of a flow falls silent.  While the others answer, it is gone; when
+   they are silent too, this balancer is cut off, and judges nobody.  */
+static void
+test_silence (void **state)
+{
+  (void)state;
+  for (int others_answer = 0; others_answer < 2; others_answer++)
+    {
+      struct seen seen = { .resets = 0 };
+      struct bl_dispatch *d = one_balancer (&seen);
+      for (uint32_t ip = 11; ip < 15; ip++)
+        learn_agent (d, 10, ip, "s");
+      bl_dispatch_listed (d, 10);
+      send_data (d, 20);
+      agent_says (d, 30, 11, BL_LINK_OWNED);
+      for (uint64_t now = 100; now < 4000; now += 50)
+        {
+          for (uint32_t ip = 12; ip < 15 && others_answer; ip++)
+            agent_says (d, now, ip, BL_LINK_DENIED);
+          bl_dispatch_tick (d, now);
+        }
+      assert_int_equal (seen.resets, (unsigned)others_answer);
+      bl_dispatch_free (d);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_former_service),
+    cmocka_unit_test (test_silence),
     cmocka_unit_test (test_agent_returns),
     cmocka_unit_test (test_address_taken_over),
     cmocka_unit_test (test_leaves_in_turn),
