--- a/core/dispatch_state.c
+++ b/core/dispatch_state.c
@@ -78,7 +78,9 @@
 {
   if (d->listed_ms != 0 && d->now - d->listed_ms >= LIST_SETTLE_MS)
     return true;
-  return d->vouched || d->now - d->started_ms > SETTLE_MS;
+  /* A packet may come before the first tick.  */
+  return d->vouched
+         || (d->started_ms != 0 && d->now - d->started_ms > SETTLE_MS);
 }
 
 /* Someone must be there to take flows; right after a start one's word is
--- a/core/pass.c
+++ b/core/pass.c
@@ -376,7 +376,8 @@
     return false;
   if (p->born != 0 && p->born + BORN_SLACK_MS > p->self.incarnation)
     return false;
-  return p->now - p->started_ms < UNSURE_MS;
+  /* A message may come before the first tick.  */
+  return p->started_ms == 0 || p->now - p->started_ms < UNSURE_MS;
 }
 
 static void
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -356,7 +356,6 @@
   bl_name_set (&settings.self.id, bl_str_of ("b"));
   bl_name_set (&settings.self.dc, bl_str_of ("dc"));
   d = bl_dispatch_new (&settings, &step_ops, seen);
-  bl_dispatch_tick (d, 1);
   bl_dispatch_configure (d, 1, one_route (1, "s", NULL));
   return d;
 }
@@ -473,6 +472,21 @@
   bl_dispatch_free (d);
 }
 
+/* Packets come before the first tick, at a late hour of the clock.  */
+static void
+test_denials_before_first_tick (void **state)
+{
+  struct seen seen = { .resets = 0 };
+  struct bl_dispatch *d = one_balancer (&seen);
+
+  (void)state;
+  learn_agent (d, 50000, 11, "s");
+  send_data (d, 50000);
+  agent_says (d, 50001, 11, BL_LINK_DENIED);
+  assert_int_equal (seen.resets, 0);
+  bl_dispatch_free (d);
+}
+
 /* Two balancers that started together hold the same few records: that they
    agree proves nothing; a peer that knows all does.  */
 static void
@@ -710,6 +724,7 @@
     cmocka_unit_test (test_all_packets_wait),
     cmocka_unit_test (test_denials_of_a_part),
     cmocka_unit_test (test_routes_change_meanwhile),
+    cmocka_unit_test (test_denials_before_first_tick),
     cmocka_unit_test (test_agreement),
     cmocka_unit_test (test_denials_of_all),
     cmocka_unit_test (test_faults),
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -101,18 +101,24 @@
 };
 
 static struct bl_pass *
-new_agent (struct seen *seen)
+new_agent_without_tick (struct seen *seen)
 {
   struct bl_pass_settings settings = {
     .self = { .kind = BL_KIND_BACKEND, .incarnation = INCARNATION },
     .heartbeat_ms = 1000,
   };
-  struct bl_pass *p;
 
   bl_name_set (&settings.self.id, bl_str_of ("a"));
   bl_name_set (&settings.self.dc, bl_str_of ("dc"));
   bl_name_set (&settings.self.service, bl_str_of ("s"));
-  p = bl_pass_new (&settings, &ops, seen);
+  return bl_pass_new (&settings, &ops, seen);
+}
+
+static struct bl_pass *
+new_agent (struct seen *seen)
+{
+  struct bl_pass *p = new_agent_without_tick (seen);
+
   bl_pass_tick (p, 1);
   return p;
 }
@@ -336,6 +342,20 @@
     }
 }
 
+/* What an agent is asked before its first tick, it cannot know either.  */
+static void
+test_asked_before_first_tick (void **state)
+{
+  struct seen seen = { .delivered = 0 };
+  struct bl_pass *p = new_agent_without_tick (&seen);
+  struct step ready = { READY, INCARNATION - 60000, 1 };
+
+  (void)state;
+  take_step (p, 50000, &ready);
+  assert_int_equal (ask (p, &seen, 50001), BL_LINK_UNSURE);
+  bl_pass_free (p);
+}
+
 /* A flow is known by what its server sends, also after a restart of the
    agent; what the server returns is told with the packet.  */
 static void
@@ -434,6 +454,7 @@
     cmocka_unit_test (test_states),
     cmocka_unit_test (test_first_packets),
     cmocka_unit_test (test_who_may_deny),
+    cmocka_unit_test (test_asked_before_first_tick),
     cmocka_unit_test (test_flows),
     cmocka_unit_test (test_port_used_again),
     cmocka_unit_test (test_silence_is_checked),
