Keep new flows near unless the near server is crowded or full

Half of the flows left their data centre: the work of one moment, mostly chance, was half of the comparison, and so were counts of one or two flows. Change: among servers of one data centre as before; a far one is taken when it has fewer open flows a slot by 1.35 and 3 more, or when the near one has no slot free.

--- a/core/dispatch_place.c
+++ b/core/dispatch_place.c
@@ -8,12 +8,13 @@
    the own data centre before others, and the one that bears least for its
    slots is taken: its share of the work under way plus its share of the open
    flows, as last reported, plus what was placed there since.  One of another
-   data centre must bear less by REMOTE_FACTOR, so traffic stays near while
-   there is room.  An agent that does not answer an offer within OFFER_MS is
-   passed over: the next is offered the same packet, which is harmless, since
-   only the one whose answer the caller acknowledges opens the flow.  One that
-   refuses is followed by the next at once, and when all have refused the
-   caller is reset at once.  */
+   data centre is taken only if it is less crowded by REMOTE_FACTOR, or if the
+   near one has no slot free, so traffic stays near while there is room.  An
+   agent that does not answer an offer within OFFER_MS is passed over: the next
+   is offered the same packet, which is harmless, since only the one whose
+   answer the caller acknowledges opens the flow.  One that refuses is followed
+   by the next at once, and when all have refused the caller is reset at once.
+ */
 
 #include "core/dispatch_inner.h"
 
@@ -21,7 +22,8 @@
 #define GIVE_UP_MS    1400 /* callers give up a first packet by then */
 #define DRAW_NEAR     3    /* candidates drawn in the own data centre */
 #define DRAW_FAR      2    /* and elsewhere */
-#define REMOTE_FACTOR 1.35 /* what a far one's burden counts for */
+#define REMOTE_FACTOR 1.35 /* what a far one's crowding counts for */
+#define REMOTE_FLOWS  3    /* and so many flows a slot: few tell nothing */
 #define WARM_MS       4000 /* a new server grows into its share */
 #define WARM_START    0.3  /* share at its start */
 #define CANDIDATES    512
@@ -136,25 +138,53 @@
   return best;
 }
 
+/* Open flows for each slot.  They tell more of the load to come than the work
+   of one moment, which is mostly chance.  */
+static double
+crowding (const struct bl_dispatch *d, const struct bl_target *t)
+{
+  return ((double)t->flows + t->placed + 1) / (slots_of (t) * warmth (d, t));
+}
+
+static bool
+is_full (const struct bl_target *t)
+{
+  return t->busy >= slots_of (t);
+}
+
+/* Whether FAR, in another data centre, is worth its way: the near one is much
+   more crowded, or has no slot free while the far one has.  */
+static bool
+is_worth_its_way (const struct bl_dispatch *d,
+                  const struct bl_target *far,
+                  const struct bl_target *near)
+{
+  double far_crowd = crowding (d, far);
+  double near_crowd = crowding (d, near);
+
+  if (far_crowd * REMOTE_FACTOR + REMOTE_FLOWS < near_crowd)
+    return true;
+  return is_full (near) && !is_full (far) && far_crowd < near_crowd;
+}
+
 static struct bl_target *
 choose (struct bl_dispatch *d, const struct bl_passing *f)
 {
   static struct candidates c;
   struct bl_target *near;
   struct bl_target *far;
-  double near_bears = 0;
-  double far_bears = 0;
+  double least = 0;
 
   collect (d, f, false, &c);
   if (c.count == 0)
     collect (d, f, true, &c);
   if (c.count == 0)
     return NULL;
-  near = draw (d, &c, true, DRAW_NEAR, &near_bears);
-  far = draw (d, &c, false, DRAW_FAR, &far_bears);
+  near = draw (d, &c, true, DRAW_NEAR, &least);
+  far = draw (d, &c, false, DRAW_FAR, &least);
   if (near == NULL || far == NULL)
     return near != NULL ? near : far;
-  return far_bears * REMOTE_FACTOR < near_bears ? far : near;
+  return is_worth_its_way (d, far, near) ? far : near;
 }
 
 static void
--- a/emulator/emulator.c
+++ b/emulator/emulator.c
@@ -78,15 +78,16 @@
   uint8_t bytes[];
 };
 
+/* DATA: the bytes of callers that it carries count.  */
 static double
-delay_us (struct em *em, unsigned from_dc, unsigned to_dc)
+delay_us (struct em *em, unsigned from_dc, unsigned to_dc, bool data)
 {
   double ms = from_dc == to_dc ? em->settings.near_ms : em->settings.far_ms;
 
   if (from_dc == to_dc)
-    em->totals.near_packets++;
+    em->totals.near_packets += data;
   else
-    em->totals.far_packets++;
+    em->totals.far_packets += data;
   return 1000 * ms * (1 + 0.3 * bl_random_unit (&em->random));
 }
 
@@ -150,7 +151,8 @@
          const struct em_process *from,
          struct bl_addr source,
          struct bl_addr to,
-         size_t len)
+         size_t len,
+         bool data)
 {
   size_t index = to.ip & 0xffff;
   bool is_agent = (to.ip & ~0xffffu) == AGENT_NET;
@@ -162,7 +164,7 @@
       || index >= (is_agent ? em->server_count : em->balancer_count))
     return NULL;
   dc = is_agent ? em->servers[index].agent.dc : em->balancers[index].process.dc;
-  e = em_post (em, delay_us (em, from->dc, dc),
+  e = em_post (em, delay_us (em, from->dc, dc, data),
                is_agent ? at_agent : at_balancer, index, sizeof *g + len);
   g = (struct datagram *)e->data;
   g->from = source;
@@ -181,7 +183,7 @@
            size_t len)
 {
   struct bl_addr source = { ip, DATA_PORT };
-  struct datagram *g = send_to (em, from, source, to, 0);
+  struct datagram *g = send_to (em, from, source, to, 0, len > 0);
 
   if (g == NULL)
     return;
@@ -200,7 +202,7 @@
               size_t len)
 {
   struct bl_addr source = { ip, CONTROL_PORT };
-  struct datagram *g = send_to (em, from, source, to, len);
+  struct datagram *g = send_to (em, from, source, to, len, false);
 
   if (g != NULL)
     memcpy (g->bytes, buf, len);
--- a/emulator/emulator.h
+++ b/emulator/emulator.h
@@ -76,7 +76,7 @@
   uint64_t twice;  /* requests that ran more than once and may not */
   uint64_t wrong_service; /* first packets that reached another service */
   uint64_t after_drain;   /* first packets taken by a server told to drain */
-  uint64_t far_packets;   /* between data centres */
+  uint64_t far_packets;   /* of callers, between data centres */
   uint64_t near_packets;
   uint64_t stray; /* packets at backend servers that hold no such flow */
 };
