Bound the tables of flows

Cause: first packets from ever new ports grew both tables without end; an instance has 79 to 260 MB. Change: 65,536 flows at a balancer and at an agent; further ones are counted and not taken (balancer), or passed on without being noted (agent). Before/after: test_flood_of_ports, 70,000 / 65,536 flows.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -69,14 +69,21 @@
   return f;
 }
 
-static struct bl_passing *
-add_flow (struct bl_dispatch *d, const struct bl_flow_key *key)
+struct bl_passing *
+bl_passing_add (struct bl_dispatch *d, const struct bl_flow_key *key)
 {
-  struct bl_passing *f = calloc (1, sizeof *f);
+  struct bl_passing *f = NULL;
 
+  if (HASH_COUNT (d->flows) < BL_PASSING_MAX)
+    f = calloc (1, sizeof *f);
   if (f == NULL)
-    return NULL;
+    {
+      d->counters[BL_DISPATCH_NO_ROOM]++;
+      return NULL;
+    }
   f->key = *key;
+  f->touched_ms = d->now;
+  f->since_ms = d->now;
   HASH_ADD (hh, d->flows, key, sizeof f->key, f);
   return f;
 }
@@ -271,10 +278,9 @@
   /* A reset of a caller that has given up needs no owner found for it.  */
   if (b->packet->flags & BL_TCP_RST)
     return;
-  f = add_flow (d, &b->packet->key);
+  f = bl_passing_add (d, &b->packet->key);
   if (f == NULL)
     return;
-  f->touched_ms = d->now;
   f->last_ack = b->packet->ack;
   bl_inquiry_start (d, f, b);
 }
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -61,6 +61,7 @@
   BL_DISPATCH_LOST,      /* flows reset since their backend server is gone */
   BL_DISPATCH_DROPPED,   /* packets without a known owner */
   BL_DISPATCH_BAD,       /* messages malformed */
+  BL_DISPATCH_NO_ROOM,   /* flows not taken for want of room */
   BL_DISPATCH_COUNTERS,
 };
 
--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -21,7 +21,8 @@
   bool refused;
 };
 
-#define BL_HELD_MAX 16 /* packets that a caller may have in flight */
+#define BL_PASSING_MAX 65536 /* flows known; about 45 MB of memory */
+#define BL_HELD_MAX    16    /* packets that a caller may have in flight */
 
 struct bl_held
 {
@@ -122,6 +123,9 @@
 };
 
 /* dispatch.c */
+/* A new flow, or NULL when there is no room.  */
+struct bl_passing *bl_passing_add (struct bl_dispatch *d,
+                                   const struct bl_flow_key *key);
 struct bl_passing *bl_passing_find (struct bl_dispatch *d,
                                     const struct bl_flow_key *key);
 void bl_passing_remove (struct bl_dispatch *d, struct bl_passing *f);
--- a/core/dispatch_place.c
+++ b/core/dispatch_place.c
@@ -254,16 +254,12 @@
 
   if (split == NULL)
     return NULL;
-  f = calloc (1, sizeof *f);
+  f = bl_passing_add (d, &p->key);
   if (f == NULL)
     return NULL;
-  f->key = p->key;
   f->phase = BL_PHASE_OPENING;
   f->service = split->service_hash;
   f->first_seq = p->seq;
-  f->since_ms = d->now;
-  f->touched_ms = d->now;
-  HASH_ADD (hh, d->flows, key, sizeof f->key, f);
   return f;
 }
 
--- a/core/dispatch_state.c
+++ b/core/dispatch_state.c
@@ -20,6 +20,7 @@
   [BL_DISPATCH_LOST] = "flows_lost",
   [BL_DISPATCH_DROPPED] = "packets_dropped",
   [BL_DISPATCH_BAD] = "messages_malformed",
+  [BL_DISPATCH_NO_ROOM] = "flows_without_room",
 };
 
 int
--- a/core/pass.c
+++ b/core/pass.c
@@ -25,6 +25,7 @@
 #define CLOSED_MS     3000  /* the same once an end has closed it */
 #define BUSY_MAX_MS   8000  /* an answer that late will not come */
 #define SWEEP_MS      1000
+#define FLOWS_MAX     65536 /* known here; about 10 MB of memory */
 #define WATCHER_MS    10000 /* a balancer that asked is told for so long */
 #define LONELY_MS     1500  /* without a balancer until the seeds are told */
 #define ACK_WINDOW    (1u << 20) /* sequence numbers */
@@ -37,6 +38,7 @@
   [BL_PASS_RETURNED] = "packets_returned",
   [BL_PASS_WRONG_SERVICE] = "packets_of_other_services",
   [BL_PASS_BAD] = "messages_malformed",
+  [BL_PASS_NO_ROOM] = "flows_without_room",
   [BL_PASS_HEARTBEATS] = "heartbeats",
   [BL_PASS_BAD_HEARTBEATS] = "heartbeats_ignored",
 };
@@ -103,9 +105,12 @@
 
   if (f == NULL)
     {
-      f = calloc (1, sizeof *f);
+      f = HASH_COUNT (p->flows) < FLOWS_MAX ? calloc (1, sizeof *f) : NULL;
       if (f == NULL)
-        return NULL;
+        {
+          p->counters[BL_PASS_NO_ROOM]++;
+          return NULL;
+        }
       f->key = *key;
       HASH_ADD (hh, p->flows, key, sizeof f->key, f);
     }
--- a/core/pass.h
+++ b/core/pass.h
@@ -71,6 +71,7 @@
   BL_PASS_RETURNED,       /* packets of flows that it does not hold */
   BL_PASS_WRONG_SERVICE,  /* packets for another service */
   BL_PASS_BAD,            /* packets or messages malformed */
+  BL_PASS_NO_ROOM,        /* flows not noted for want of room */
   BL_PASS_HEARTBEATS,     /* taken in */
   BL_PASS_BAD_HEARTBEATS, /* of another service, or late */
   BL_PASS_COUNTERS,
--- a/core/pass_inner.h
+++ b/core/pass_inner.h
@@ -52,7 +52,7 @@
   bool left;
   bool watched;           /* no flow can be older than this process */
   uint64_t unanswered_ms; /* oldest packet without an answer; 0: none */
-  bool doubted; /* it returned what it should have taken */
+  bool doubted;           /* it returned what it should have taken */
   uint64_t checked_ms;
   unsigned start_checks;
   /* Balancers.  */
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -712,10 +712,32 @@
     }
 }
 
+/* First packets from ever new ports fill a table of bounded size.  */
+static void
+test_flood_of_ports (void **state)
+{
+  struct seen seen = { .resets = 0 };
+  struct bl_dispatch *d = one_balancer (&seen);
+  struct bl_packet p = { .key = step_key, .flags = BL_TCP_SYN };
+
+  (void)state;
+  learn_agent (d, 10, 11, "s");
+  for (uint32_t i = 0; i < 70000; i++)
+    {
+      p.key.src_ip = i;
+      bl_dispatch_packet (d, 20, &p, (const uint8_t *)&p, sizeof p);
+    }
+  assert_int_equal (bl_dispatch_flow_count (d), 65536);
+  assert_int_equal (bl_dispatch_counter (d, BL_DISPATCH_NO_ROOM),
+                    70000 - 65536);
+  bl_dispatch_free (d);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_flood_of_ports),
     cmocka_unit_test (test_former_service),
     cmocka_unit_test (test_silence),
     cmocka_unit_test (test_agent_returns),
