Agents refuse new flows when slots and a short queue are full

Ruled out: uneven placement (arrivals even), slow inquiries. Change: an agent counts requests under way and flows that will bring one at once, and refuses a first packet beyond slots and six more; the balancer offers it elsewhere.

--- a/core/pass.c
+++ b/core/pass.c
@@ -24,7 +24,9 @@
 #define IDLE_MS       20000 /* until a flow is forgotten */
 #define CLOSED_MS     3000  /* the same once an end has closed it */
 #define BUSY_MAX_MS   8000  /* an answer that late will not come */
-#define SWEEP_MS      1000
+#define SWEEP_MS      200
+#define OPENING_MS    150 /* until the first request of a flow */
+#define QUEUE_ROOM    6   /* requests that a server queues; more may be shed */
 #define FLOWS_MAX     65536 /* known here; about 10 MB of memory */
 #define WATCHER_MS    10000 /* a balancer that asked is told for so long */
 #define LONELY_MS     1500  /* without a balancer until the seeds are told */
@@ -65,6 +67,8 @@
 {
   if (f->busy_ms != 0)
     p->busy--;
+  if (f->opening)
+    p->opening--;
   HASH_DEL (p->flows, f);
   free (f);
 }
@@ -118,9 +122,20 @@
   return f;
 }
 
+static void
+set_opening (struct bl_pass *p, struct bl_pass_flow *f, bool opening)
+{
+  if (opening == f->opening)
+    return;
+  f->opening = opening;
+  p->opening += opening ? 1 : -1;
+}
+
 static void
 set_busy (struct bl_pass *p, struct bl_pass_flow *f, bool busy)
 {
+  if (busy)
+    set_opening (p, f, false);
   if (busy == (f->busy_ms != 0))
     return;
   if (!busy)
@@ -283,11 +298,22 @@
   p->ops.deliver (p->ctx, bytes, len, token_of (p, from));
 }
 
+/* Load pattern: all callers come back at once, after a loss of power or in a
+   burst.  A new flow brings a request at once; when the requests under way and
+   to come fill the slots and a short queue, another server is the better place,
+   and the caller loses a round trip instead of a try.  */
+static bool
+is_crowded (const struct bl_pass *p)
+{
+  return p->self.slots > 0
+         && p->busy + p->opening >= p->self.slots + QUEUE_ROOM;
+}
+
 static enum bl_link_reason
 why_not (const struct bl_pass *p)
 {
   if (p->self.state == BL_STATE_READY)
-    return BL_REASON_NONE;
+    return is_crowded (p) ? BL_REASON_FULL : BL_REASON_NONE;
   return p->self.state == BL_STATE_DRAINING ? BL_REASON_DRAINING
                                             : BL_REASON_DOWN;
 }
@@ -319,6 +345,7 @@
     }
   f->first_seq = packet->seq;
   f->offered_ms = p->now;
+  set_opening (p, f, true);
   f->told = false;
   f->asker = from;
   deliver (p, from, packet, bytes, len);
@@ -536,6 +563,8 @@
       forget (p, f);
     else if (f->busy_ms != 0 && p->now - f->busy_ms > BUSY_MAX_MS)
       set_busy (p, f, false);
+    else if (f->opening && idle > OPENING_MS)
+      set_opening (p, f, false);
   }
   for (size_t i = 0; i < p->watcher_count; i++)
     if (p->now - p->watchers[i].heard_ms > WATCHER_MS)
--- a/core/pass_inner.h
+++ b/core/pass_inner.h
@@ -22,7 +22,8 @@
   bool next_known;
   bool open;
   bool closed;
-  bool told; /* the asker knows that the flow is here */
+  bool opening; /* no request has come on it yet */
+  bool told;    /* the asker knows that the flow is here */
   struct bl_addr asker;
   UT_hash_handle hh;
 };
@@ -44,6 +45,7 @@
   struct bl_record self;
   struct bl_pass_flow *flows;
   uint32_t busy;
+  uint32_t opening; /* flows that will bring a request at once */
   /* The backend server.  */
   struct bl_name backend; /* empty: not known */
   uint64_t born;
