--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -20,9 +20,12 @@
 #define DARK_PING_MS    1000 /* the same once it counts as gone */
 #define SIGHT_PING_MS   300  /* of those whose answers show own sight */
 #define SEED_MS         1000 /* between questions to the seeds */
-#define SHARE_MS        500  /* between sendings of records to one peer */
-#define PULL_MS         250  /* between two pulls of routes */
-#define SHARE_RECORDS   8    /* records that fit a datagram */
+#define SHARE_MIN_MS    500  /* between sendings of records */
+#define SHARE_BYTES_S   8000 /* of records, while balancers hold different ones \
+                              */
+#define RECORD_BYTES  120    /* of one record in a message */
+#define PULL_MS       250    /* between two pulls of routes */
+#define SHARE_RECORDS 8      /* records that fit a datagram */
 
 static void
 send_msg (struct bl_dispatch *d, struct bl_addr to, struct bl_msg *msg)
@@ -184,6 +187,17 @@
     flush_share (s);
 }
 
+/* In a large fleet something always changes; the store's watch brings it, and
+   sending all records is for when that fails.  */
+static uint64_t
+share_interval_ms (const struct bl_dispatch *d)
+{
+  uint64_t ms = (uint64_t)HASH_COUNT (d->fleet.targets) * RECORD_BYTES * 1000
+                / SHARE_BYTES_S;
+
+  return ms < SHARE_MIN_MS ? SHARE_MIN_MS : ms;
+}
+
 static void
 share_records (struct bl_dispatch *d, struct bl_addr to)
 {
@@ -191,7 +205,7 @@
 
   if (d->now < d->next_share_ms)
     return;
-  d->next_share_ms = d->now + SHARE_MS;
+  d->next_share_ms = d->now + share_interval_ms (d);
   bl_store_each (d->fleet.store, BL_KIND_MEMBER, add_share, &s);
   bl_store_each (d->fleet.store, BL_KIND_BACKEND, add_share, &s);
   flush_share (&s);
