Share what stood twice: fixed buffers of MessagePack, link messages on sockets

Cause: link.c repeated forward.c's writer and reader, dispatcher.c and passthrough.c each read and wrote the same messages. Change: core/pack, daemon/link_io.

--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -21,11 +21,12 @@
 #define SIGHT_PING_MS   300  /* of those whose answers show own sight */
 #define SEED_MS         1000 /* between questions to the seeds */
 #define SHARE_MIN_MS    500  /* between sendings of records */
-#define SHARE_BYTES_S   8000 /* of records, while balancers hold different ones \
-                              */
-#define RECORD_BYTES  120    /* of one record in a message */
-#define PULL_MS       250    /* between two pulls of routes */
-#define SHARE_RECORDS 8      /* records that fit a datagram */
+#define SHARE_BYTES_S                                                          \
+  8000                    /* of records, while balancers hold different ones   \
+                           */
+#define RECORD_BYTES  120 /* of one record in a message */
+#define PULL_MS       250 /* between two pulls of routes */
+#define SHARE_RECORDS 8   /* records that fit a datagram */
 
 static void
 send_msg (struct bl_dispatch *d, struct bl_addr to, struct bl_msg *msg)
--- a/core/forward.c
+++ b/core/forward.c
@@ -5,31 +5,13 @@
    packet follows the header directly.  */
 
 #include "core/bounds.h"
+#include "core/pack.h"
 
 #include <msgpack.h>
 #include <string.h>
 
 #define FORWARD_FIELDS 8
 
-/* Writes into a caller's fixed buffer instead of growing one.  */
-struct fixed
-{
-  uint8_t *buf;
-  size_t len;
-};
-
-static int
-fixed_write (void *data, const char *bytes, size_t len)
-{
-  struct fixed *f = data;
-
-  if (f->len + len > BL_FORWARD_MAX)
-    return -1;
-  memcpy (f->buf + f->len, bytes, len);
-  f->len += len;
-  return 0;
-}
-
 static void
 pack_hop (msgpack_packer *pk, const struct bl_hop *hop)
 {
@@ -42,10 +24,10 @@
 size_t
 bl_forward_encode (const struct bl_forward *forward, uint8_t *buf)
 {
-  struct fixed out = { .buf = buf };
+  struct bl_fixed out = { .buf = buf, .cap = BL_FORWARD_MAX };
   msgpack_packer pk;
 
-  msgpack_packer_init (&pk, &out, fixed_write);
+  msgpack_packer_init (&pk, &out, bl_fixed_write);
   msgpack_pack_array (&pk, FORWARD_FIELDS);
   msgpack_pack_uint8 (&pk, BL_FORWARD_VERSION);
   msgpack_pack_uint32 (&pk, forward->service);
@@ -60,15 +42,6 @@
   return out.len;
 }
 
-static bool
-get_uint (const msgpack_object *o, uint64_t max, uint64_t *value)
-{
-  if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER || o->via.u64 > max)
-    return false;
-  *value = o->via.u64;
-  return true;
-}
-
 static bool
 get_bool (const msgpack_object *o, bool *value)
 {
@@ -86,9 +59,9 @@
 
   if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != 3)
     return false;
-  if (!get_uint (&o->via.array.ptr[0], UINT32_MAX, &ip)
-      || !get_uint (&o->via.array.ptr[1], UINT16_MAX, &port)
-      || !get_uint (&o->via.array.ptr[2], UINT64_MAX, &hop->incarnation))
+  if (!bl_get_uint (&o->via.array.ptr[0], UINT32_MAX, &ip)
+      || !bl_get_uint (&o->via.array.ptr[1], UINT16_MAX, &port)
+      || !bl_get_uint (&o->via.array.ptr[2], UINT64_MAX, &hop->incarnation))
     return false;
   hop->data = (struct bl_addr){ .ip = (uint32_t)ip, .port = (uint16_t)port };
   return true;
@@ -117,14 +90,14 @@
   if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size == 0)
     return BL_EFORMAT;
   f = root->via.array.ptr;
-  if (!get_uint (&f[0], UINT8_MAX, &version))
+  if (!bl_get_uint (&f[0], UINT8_MAX, &version))
     return BL_EFORMAT;
   if (version != BL_FORWARD_VERSION)
     return BL_EVERSION;
   if (root->via.array.size != FORWARD_FIELDS
-      || !get_uint (&f[1], UINT32_MAX, &service)
-      || !get_uint (&f[2], UINT64_MAX, &forward->target)
-      || !get_uint (&f[3], UINT8_MAX, &hops)
+      || !bl_get_uint (&f[1], UINT32_MAX, &service)
+      || !bl_get_uint (&f[2], UINT64_MAX, &forward->target)
+      || !bl_get_uint (&f[3], UINT8_MAX, &hops)
       || !get_bool (&f[4], &forward->placed)
       || !get_bool (&f[5], &forward->direct) || !get_hop (&f[6], &forward->home)
       || !get_chain (&f[7], forward))
--- a/core/link.c
+++ b/core/link.c
@@ -6,6 +6,7 @@
 
 #include "core/link.h"
 #include "core/bounds.h"
+#include "core/pack.h"
 
 #include <msgpack.h>
 #include <string.h>
@@ -25,32 +26,13 @@
   return reason < BL_REASON_END ? reason_names[reason] : "unknown";
 }
 
-/* Writes into a caller's fixed buffer instead of growing one.  */
-struct fixed
-{
-  uint8_t *buf;
-  size_t len;
-};
-
-static int
-fixed_write (void *data, const char *bytes, size_t len)
-{
-  struct fixed *f = data;
-
-  if (f->len + len > BL_LINK_MAX)
-    return -1;
-  memcpy (f->buf + f->len, bytes, len);
-  f->len += len;
-  return 0;
-}
-
 size_t
 bl_link_encode (const struct bl_link *link, uint8_t *buf)
 {
-  struct fixed out = { .buf = buf };
+  struct bl_fixed out = { .buf = buf, .cap = BL_LINK_MAX };
   msgpack_packer pk;
 
-  msgpack_packer_init (&pk, &out, fixed_write);
+  msgpack_packer_init (&pk, &out, bl_fixed_write);
   msgpack_pack_array (&pk, LINK_FIELDS);
   msgpack_pack_uint8 (&pk, BL_LINK_VERSION);
   msgpack_pack_uint8 (&pk, (uint8_t)link->type);
@@ -70,15 +52,6 @@
   return out.len;
 }
 
-static bool
-get_uint (const msgpack_object *o, uint64_t max, uint64_t *value)
-{
-  if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER || o->via.u64 > max)
-    return false;
-  *value = o->via.u64;
-  return true;
-}
-
 static bool
 get_key (const msgpack_object *o, struct bl_flow_key *key)
 {
@@ -88,7 +61,7 @@
   if (o->type != MSGPACK_OBJECT_ARRAY || o->via.array.size != KEY_FIELDS)
     return false;
   for (int i = 0; i < KEY_FIELDS; i++)
-    if (!get_uint (&f[i], i < 2 ? UINT32_MAX : UINT16_MAX, &v[i]))
+    if (!bl_get_uint (&f[i], i < 2 ? UINT32_MAX : UINT16_MAX, &v[i]))
       return false;
   *key = (struct bl_flow_key){ .src_ip = (uint32_t)v[0],
                                .dst_ip = (uint32_t)v[1],
@@ -109,20 +82,20 @@
   if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size == 0)
     return BL_EFORMAT;
   f = root->via.array.ptr;
-  if (!get_uint (&f[0], UINT8_MAX, &version))
+  if (!bl_get_uint (&f[0], UINT8_MAX, &version))
     return BL_EFORMAT;
   if (version != BL_LINK_VERSION)
     return BL_EVERSION;
   if (root->via.array.size != LINK_FIELDS
-      || !get_uint (&f[1], BL_LINK_TYPE_END - 1, &type) || type == 0
-      || !get_uint (&f[2], BL_REASON_END - 1, &reason)
-      || !get_uint (&f[3], UINT64_MAX, &link->service)
-      || !get_key (&f[4], &link->key) || !get_uint (&f[5], UINT32_MAX, &v[0])
-      || !get_uint (&f[6], UINT32_MAX, &v[1])
-      || !get_uint (&f[7], UINT64_MAX, &link->incarnation)
-      || !get_uint (&f[8], UINT64_MAX, &link->born)
-      || !get_uint (&f[9], UINT32_MAX, &v[2])
-      || !get_uint (&f[10], UINT32_MAX, &v[3]))
+      || !bl_get_uint (&f[1], BL_LINK_TYPE_END - 1, &type) || type == 0
+      || !bl_get_uint (&f[2], BL_REASON_END - 1, &reason)
+      || !bl_get_uint (&f[3], UINT64_MAX, &link->service)
+      || !get_key (&f[4], &link->key) || !bl_get_uint (&f[5], UINT32_MAX, &v[0])
+      || !bl_get_uint (&f[6], UINT32_MAX, &v[1])
+      || !bl_get_uint (&f[7], UINT64_MAX, &link->incarnation)
+      || !bl_get_uint (&f[8], UINT64_MAX, &link->born)
+      || !bl_get_uint (&f[9], UINT32_MAX, &v[2])
+      || !bl_get_uint (&f[10], UINT32_MAX, &v[3]))
     return BL_EFORMAT;
   link->type = (enum bl_link_type)type;
   link->reason = (enum bl_link_reason)reason;
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -8,6 +8,7 @@
 #include "core/dispatch.h"
 #include "core/msg.h"
 #include "daemon/daemon.h"
+#include "daemon/link_io.h"
 #include "platform/platform.h"
 
 #include <jansson.h>
@@ -117,28 +118,17 @@
 on_links (struct io_source *source, uint32_t events)
 {
   struct dispatcher *d = ((struct dispatcher_socket *)source)->dispatcher;
-  struct platform_packet p;
-  struct bl_link link;
-  struct bl_addr from;
-  int n;
+  struct link_arrival in;
+  int err;
 
   (void)events;
-  while ((n = io_udp_receive (source->fd, &from, d->datagram, DATAGRAM_CAP))
-         >= 0)
-    {
-      int head = bl_link_decode (&link, d->datagram, (size_t)n);
-      const uint8_t *bytes = d->datagram + head;
-      size_t len = (size_t)(n - head);
-      bool has_packet;
-      if (head < 0)
-        {
-          d->malformed++;
-          continue;
-        }
-      has_packet = platform_packet_parse (&p, bytes, len, false) == BL_OK;
-      bl_dispatch_link (d->core, io_now_ms (), from, &link,
-                        has_packet ? &p.packet : NULL, bytes, len);
-    }
+  while ((err = link_receive (source->fd, d->datagram, DATAGRAM_CAP, &in))
+         != BL_ENOTFOUND)
+    if (err == BL_OK)
+      bl_dispatch_link (d->core, io_now_ms (), in.from, &in.link,
+                        link_packet (&in), in.bytes, in.len);
+    else
+      d->malformed++;
 }
 
 static void
@@ -164,10 +154,7 @@
                size_t len)
 {
   struct dispatcher *d = ctx;
-  uint8_t head[BL_LINK_MAX];
-  size_t head_len = bl_link_encode (link, head);
-
-  io_udp_send_parts (d->links.source.fd, to, head, head_len, packet, len);
+  link_send (d->links.source.fd, to, link, packet, len);
 }
 
 static void
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -6,6 +6,7 @@
 
 #include "core/pass.h"
 #include "daemon/daemon.h"
+#include "daemon/link_io.h"
 #include "platform/platform.h"
 
 #include <errno.h>
@@ -72,28 +73,19 @@
 on_links (struct io_source *source, uint32_t events)
 {
   struct passthrough *p = ((struct passthrough_socket *)source)->pass;
-  struct platform_packet packet;
-  struct bl_link link;
-  struct bl_addr from;
+  struct link_arrival in;
 
   (void)events;
   for (int i = 0; i < READS_PER_EVENT; i++)
     {
-      int n = io_udp_receive (source->fd, &from, p->datagram, DATAGRAM_CAP);
-      int head = n >= 0 ? bl_link_decode (&link, p->datagram, (size_t)n) : 0;
-      const uint8_t *bytes = p->datagram + head;
-      size_t len = (size_t)(n - head);
-      bool has_packet;
-      if (n < 0)
+      int err = link_receive (source->fd, p->datagram, DATAGRAM_CAP, &in);
+      if (err == BL_ENOTFOUND)
         return;
-      if (head < 0)
-        {
-          p->malformed++;
-          continue;
-        }
-      has_packet = platform_packet_parse (&packet, bytes, len, false) == BL_OK;
-      bl_pass_link (p->core, io_now_ms (), from, &link,
-                    has_packet ? &packet.packet : NULL, bytes, len);
+      if (err == BL_OK)
+        bl_pass_link (p->core, io_now_ms (), in.from, &in.link,
+                      link_packet (&in), in.bytes, in.len);
+      else
+        p->malformed++;
     }
 }
 
@@ -223,10 +215,7 @@
                   size_t len)
 {
   struct passthrough *p = ctx;
-  uint8_t head[BL_LINK_MAX];
-  size_t head_len = bl_link_encode (link, head);
-
-  io_udp_send_parts (p->links.source.fd, to, head, head_len, packet, len);
+  link_send (p->links.source.fd, to, link, packet, len);
 }
 
 static void
