--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -14,11 +14,12 @@
 
 #include <cmocka.h>
 
-#define SEED         41
-#define SEEDS        3
-#define WARM_MS      8000 /* until a fault */
-#define JUST_CARRIED 1.4  /* times the load: 0.98 of the slots of cold servers \
-                           */
+#define SEED    41
+#define SEEDS   3
+#define WARM_MS 8000 /* until a fault */
+#define JUST_CARRIED                                                           \
+  1.4 /* times the load: 0.98 of the slots of cold servers                     \
+       */
 
 static struct em_settings
 deployment (uint64_t seed)
