--- a/core/agent_search.c
+++ b/core/agent_search.c
@@ -15,14 +15,13 @@
 #include <string.h>
 
 #define RESET_AFTER_MS 5000 /* between two denials of a flow */
-#define GONE_RESET_AFTER_MS                                                    \
-  20000                         /* the same, while a peer may be paused;       \
-                                   above the longest pause to be survived */
-#define DENIED_MAX_MS     30000 /* an older denial says nothing any more */
-#define VIEW_FRESH_MS     5000  /* since a keeper confirmed the view */
-#define SEARCH_TIMEOUT_MS 400
-#define SEARCH_RATE       200 /* searches a second */
-#define SEARCH_BURST      400
+/* The same while a peer may be paused; above the longest pause to survive.  */
+#define GONE_RESET_AFTER_MS 20000
+#define DENIED_MAX_MS       30000 /* an older denial says nothing any more */
+#define VIEW_FRESH_MS       5000  /* since a keeper confirmed the view */
+#define SEARCH_TIMEOUT_MS   400
+#define SEARCH_RATE         200 /* searches a second */
+#define SEARCH_BURST        400
 
 static bool
 take_search_token (struct bl_agent *agent)
--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -4,9 +4,8 @@
    their number, so that what a balancer sends and gets stays within
    STATUS_BYTES_S whatever the size of the fleet.  An instance that has left a
    question open is asked again soon.  Balancers tell each other at once that
-   they have newer routes, and send each other the records
-   that they hold when their digests differ, so one of them that knows an
-   instance is enough.  */
+   they have newer routes, and send each other their records when the digests
+   differ, so one of them that knows an instance is enough.  */
 
 #include "core/dispatch_inner.h"
 
@@ -21,12 +20,10 @@
 #define SIGHT_PING_MS   300  /* of those whose answers show own sight */
 #define SEED_MS         1000 /* between questions to the seeds */
 #define SHARE_MIN_MS    500  /* between sendings of records */
-#define SHARE_BYTES_S                                                          \
-  8000                    /* of records, while balancers hold different ones   \
-                           */
-#define RECORD_BYTES  120 /* of one record in a message */
-#define PULL_MS       250 /* between two pulls of routes */
-#define SHARE_RECORDS 8   /* records that fit a datagram */
+#define SHARE_BYTES_S   8000 /* of records, while digests differ */
+#define RECORD_BYTES    120  /* of one record in a message */
+#define PULL_MS         250  /* between two pulls of routes */
+#define SHARE_RECORDS   8    /* records that fit a datagram */
 
 static void
 send_msg (struct bl_dispatch *d, struct bl_addr to, struct bl_msg *msg)
