--- a/core/agent_search.c
+++ b/core/agent_search.c
@@ -5,23 +5,19 @@
    is says so, and later packets go there directly.  When every living peer in
    a confirmed view has denied it twice, RESET_AFTER_MS apart, the caller is
    reset: that is longer than a change takes to be known everywhere, so a peer
-   that joined meanwhile has become visible.  A peer declared dead may only be
-   paused; while one has not answered, the two denials are GONE_RESET_AFTER_MS
-   apart, so that it can wake up and claim its flows.  */
+   that joined meanwhile has become visible.  */
 
 #include "core/agent.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-#define RESET_AFTER_MS 5000 /* between two denials of a flow */
-/* The same while a peer may be paused; above the longest pause to survive.  */
-#define GONE_RESET_AFTER_MS 20000
-#define DENIED_MAX_MS       30000 /* an older denial says nothing any more */
-#define VIEW_FRESH_MS       5000  /* since a keeper confirmed the view */
-#define SEARCH_TIMEOUT_MS   400
-#define SEARCH_RATE         200 /* searches a second */
-#define SEARCH_BURST        400
+#define RESET_AFTER_MS    5000  /* between two denials of a flow */
+#define DENIED_MAX_MS     30000 /* an older denial says nothing any more */
+#define VIEW_FRESH_MS     5000  /* since a keeper confirmed the view */
+#define SEARCH_TIMEOUT_MS 400
+#define SEARCH_RATE       200 /* searches a second */
+#define SEARCH_BURST      400
 
 static bool
 take_search_token (struct bl_agent *agent)
@@ -60,18 +56,6 @@
          && agent->now - agent->view.confirmed_ms <= VIEW_FRESH_MS;
 }
 
-/* How far apart two denials must be before the caller is reset.  */
-static uint64_t
-reset_after_ms (const struct bl_agent *agent)
-{
-  const struct bl_pool *pool = &agent->view.pool;
-
-  for (size_t i = 0; i < pool->count; i++)
-    if (pool->items[i].gone)
-      return GONE_RESET_AFTER_MS;
-  return RESET_AFTER_MS;
-}
-
 /* Every peer has denied the flow.  */
 static void
 search_denied (struct bl_agent *agent, struct bl_flow *flow)
@@ -84,7 +68,7 @@
   else if (search->denied_ms == 0
            || agent->now - search->denied_ms > DENIED_MAX_MS)
     search->denied_ms = agent->now;
-  else if (agent->now - search->denied_ms >= reset_after_ms (agent)
+  else if (agent->now - search->denied_ms >= RESET_AFTER_MS
            && bl_packet_parse (&packet, search->held, search->held_len)
                   == BL_OK)
     {
--- a/test/test_frozen_owner.c
+++ b/test/test_frozen_owner.c
@@ -1,6 +1,6 @@
 /* test_frozen_owner.c -- a flow outlives a long freeze of its owner
 
-   Replays one trace; see docs/PROOFS.md.  */
+   Replays one trace; see KNOWN-RED.txt.  */
 
 #include "test/scenario.h"
 
