--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -402,7 +402,9 @@
 {
   for (size_t i = 0; i < ROLE_COUNT; i++)
     if (roles[i].role == s->role)
-      printf ("role=%s\ntransport=%s\n", roles[i].name, roles[i].transport);
+      printf ("role=%s\n", roles[i].name);
+  if (s->role & DATAGRAM_ROLES)
+    printf ("transport=datagram\n");
   for (size_t i = 0; i < OPTION_COUNT; i++)
     if (options[i].roles & s->role)
       printf ("%s=%s origin=%s\n", options[i].name, values[i], origins[i]);
