Compare records with other balancers, and before a flow is given up

New routes make all balancers ask each other in one moment; the next question of a pair came 7 s later (100 instances), so peers did not help. Ruled out: an agent that denies what it holds (no such line), a false check of a backend server (all its flows would have been reset), address reuse (the record was learnt by others), a lost message (lags are alike at many balancers). Change: each balancer compares the digest of its records with one other every 500 ms; where they differ, each pulls only the buckets that differ (dispatch_compare.c). A flow that everybody denied is given up only after three others, asked after its packet came, know no further agent or had 100 ms to say so. The emulator can cut one balancer from the store.

--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -103,7 +103,12 @@
   struct bl_passing *pending;
   uint64_t next_sweep_ms;
   uint64_t next_seed_ms;
-  uint64_t next_share_ms;
+  uint64_t next_compare_ms;
+  uint64_t next_records_ms; /* records are pulled not before */
+  uint64_t next_share_ms;   /* records are sent not before */
+  uint64_t round_ms;     /* when the last round of comparisons began; 0: none */
+  size_t round_left;     /* balancers asked in it that have not agreed yet */
+  uint64_t confirmed_ms; /* beginning of the last round that has ended */
   uint64_t next_pull_ms;
   uint64_t listed_ms; /* when the store's list of instances was read; 0: not */
   bool vouched;  /* a balancer that knows all agents held the same records */
@@ -196,8 +201,26 @@
 
 /* dispatch_members.c */
 void bl_members_tick (struct bl_dispatch *d);
+/* Asks T for its status.  */
+void bl_members_ask (struct bl_dispatch *d, struct bl_target *t);
+void
+bl_members_send (struct bl_dispatch *d, struct bl_addr to, struct bl_msg *msg);
 int bl_members_message (struct bl_dispatch *d,
                         struct bl_addr from,
                         const struct bl_msg *msg);
 
+/* dispatch_compare.c */
+void bl_compare_tick (struct bl_dispatch *d);
+/* PEER, a balancer, has told the digest of its records.  */
+void bl_compare_digest (struct bl_dispatch *d,
+                        struct bl_target *peer,
+                        const struct bl_msg *msg);
+/* Sends records that the asker of PULL does not hold.  BL_EFORMAT.  */
+int bl_compare_answer (struct bl_dispatch *d,
+                       struct bl_addr from,
+                       const struct bl_msg *pull);
+/* Whether other balancers were asked after SINCE_MS for what they know, and
+   have had time to tell it, or there is none to ask.  Asks them if not.  */
+bool bl_compare_confirmed (struct bl_dispatch *d, uint64_t since_ms);
+
 #endif
--- a/core/dispatch_inquiry.c
+++ b/core/dispatch_inquiry.c
@@ -12,9 +12,9 @@
    When everybody has denied, the backend server is gone and the caller is
    reset, but only if the packet carries data: one without may belong to a
    flow that both ends have closed; and only if this balancer knows all agents,
-   which takes a moment after its start.  An agent that stopped in order to
-   start again is waited for.  Silence of any agent that is not dark
-   keeps the answer open, and the packet is dropped.  */
+   which takes a moment after its start and is checked with a few others.  An
+   agent that stopped in order to start again is waited for.  Silence of any
+   agent that is not dark keeps the answer open, and the packet is dropped.  */
 
 #include "core/dispatch_inner.h"
 
@@ -133,7 +133,8 @@
   bl_passing_remove (d, f);
 }
 
-/* Nobody holds the flow.  */
+/* Nobody who was asked holds the flow.  An agent that only other balancers have
+   heard of may.  */
 static void
 nobody (struct bl_dispatch *d, struct bl_passing *f)
 {
@@ -143,10 +144,10 @@
       if (ask_some (d, f, true) > 0)
         return;
     }
-  if (f->held_data && bl_fleet_sees (&d->fleet) && bl_dispatch_knows_all (d))
-    bl_dispatch_end (d, f, BL_DISPATCH_LOST, "denied_by_all");
-  else
+  if (!f->held_data || !bl_fleet_sees (&d->fleet) || !bl_dispatch_knows_all (d))
     drop (d, f, "denied_by_all");
+  else if (bl_compare_confirmed (d, f->since_ms) && ask_some (d, f, true) == 0)
+    bl_dispatch_end (d, f, BL_DISPATCH_LOST, "denied_by_all");
 }
 
 static void
--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -4,8 +4,8 @@
    their number, so that what a balancer sends and gets stays within
    STATUS_BYTES_S whatever the size of the fleet.  An instance that has left a
    question open is asked again soon.  Balancers tell each other at once that
-   they have newer routes, and send each other their records when the digests
-   differ, so one of them that knows an instance is enough.  */
+   they have newer routes; dispatch_compare.c has what they do about different
+   records.  */
 
 #include "core/dispatch_inner.h"
 
@@ -19,14 +19,10 @@
 #define DARK_PING_MS    1000 /* the same once it counts as gone */
 #define SIGHT_PING_MS   300  /* of those whose answers show own sight */
 #define SEED_MS         1000 /* between questions to the seeds */
-#define SHARE_MIN_MS    500  /* between sendings of records */
-#define SHARE_BYTES_S   8000 /* of records, while digests differ */
-#define RECORD_BYTES    120  /* of one record in a message */
 #define PULL_MS         250  /* between two pulls of routes */
-#define SHARE_RECORDS   8    /* records that fit a datagram */
 
-static void
-send_msg (struct bl_dispatch *d, struct bl_addr to, struct bl_msg *msg)
+void
+bl_members_send (struct bl_dispatch *d, struct bl_addr to, struct bl_msg *msg)
 {
   msg->from = d->settings.self.id;
   if (bl_msg_encode (msg, &d->buffer) == BL_OK)
@@ -42,8 +38,8 @@
   msg->yes = bl_dispatch_knows_all (d);
 }
 
-static void
-ask_status (struct bl_dispatch *d, struct bl_target *t)
+void
+bl_members_ask (struct bl_dispatch *d, struct bl_target *t)
 {
   struct bl_msg msg = {
     .type = BL_MSG_HELLO,
@@ -60,7 +56,7 @@
   tell_versions (d, &msg);
   t->pinged_ms = d->now;
   bl_target_asked (t, d->now);
-  send_msg (d, bl_target_control (t), &msg);
+  bl_members_send (d, bl_target_control (t), &msg);
 }
 
 static void
@@ -79,7 +75,7 @@
   for (size_t i = 0; i < d->settings.seed_count; i++)
     if (bl_fleet_at (&d->fleet, d->settings.seeds[i]) == NULL
         && d->settings.seeds[i].ip != d->settings.self.ip)
-      send_msg (d, d->settings.seeds[i], &msg);
+      bl_members_send (d, d->settings.seeds[i], &msg);
 }
 
 /* Whether T is one of the few whose answers show that this process is not cut
@@ -115,7 +111,7 @@
 
 /* A pull may be lost: it is made again for as long as the peer is ahead.  */
 static void
-pull_if_behind (struct bl_dispatch *d, struct bl_target *peer)
+pull_routes (struct bl_dispatch *d, struct bl_target *peer)
 {
   uint64_t version = d->table != NULL ? d->table->version : 0;
 
@@ -145,68 +141,12 @@
       continue;
     sight = shows_sight (d, t, &sight_left);
     if (told || d->now - last >= interval_of (d, t, sight))
-      ask_status (d, t);
+      bl_members_ask (d, t);
     if (t->record.kind == BL_KIND_MEMBER && !t->suspect)
-      pull_if_behind (d, t);
+      pull_routes (d, t);
   }
   d->has_news = false;
-}
-
-/* Sends all records held to a peer that holds others.  */
-struct share
-{
-  struct bl_dispatch *d;
-  struct bl_addr to;
-  size_t count;
-  struct bl_record records[SHARE_RECORDS];
-};
-
-static void
-flush_share (struct share *s)
-{
-  struct bl_msg msg = {
-    .type = BL_MSG_RECORDS,
-    .record_count = s->count,
-    .records = s->records,
-  };
-
-  if (s->count > 0)
-    send_msg (s->d, s->to, &msg);
-  s->count = 0;
-}
-
-static void
-add_share (void *ctx, const struct bl_record *r)
-{
-  struct share *s = ctx;
-
-  s->records[s->count++] = *r;
-  if (s->count == SHARE_RECORDS)
-    flush_share (s);
-}
-
-/* In a large fleet something always changes; the store's watch brings it, and
-   sending all records is for when that fails.  */
-static uint64_t
-share_interval_ms (const struct bl_dispatch *d)
-{
-  uint64_t ms = (uint64_t)HASH_COUNT (d->fleet.targets) * RECORD_BYTES * 1000
-                / SHARE_BYTES_S;
-
-  return ms < SHARE_MIN_MS ? SHARE_MIN_MS : ms;
-}
-
-static void
-share_records (struct bl_dispatch *d, struct bl_addr to)
-{
-  struct share s = { .d = d, .to = to };
-
-  if (d->now < d->next_share_ms)
-    return;
-  d->next_share_ms = d->now + share_interval_ms (d);
-  bl_store_each (d->fleet.store, BL_KIND_MEMBER, add_share, &s);
-  bl_store_each (d->fleet.store, BL_KIND_BACKEND, add_share, &s);
-  flush_share (&s);
+  bl_compare_tick (d);
 }
 
 static void
@@ -216,31 +156,15 @@
     bl_dispatch_learn (d, d->now, &msg->records[i]);
 }
 
-/* What another balancer says of its routes and records.  */
-static void
-compare_with (struct bl_dispatch *d,
-              struct bl_target *peer,
-              struct bl_addr from,
-              const struct bl_msg *msg)
-{
-  peer->config_version = msg->config_version;
-  pull_if_behind (d, peer);
-  if (msg->digest != bl_store_digest (d->fleet.store))
-    share_records (d, from);
-  else if (msg->yes)
-    d->vouched = true;
-}
-
 static void
-on_status (struct bl_dispatch *d,
-           struct bl_addr from,
-           struct bl_target *t,
-           const struct bl_msg *msg)
+on_status (struct bl_dispatch *d, struct bl_target *t, const struct bl_msg *msg)
 {
   bl_target_heard (t, d->now);
   if (t->record.kind == BL_KIND_MEMBER)
     {
-      compare_with (d, t, from, msg);
+      t->config_version = msg->config_version;
+      pull_routes (d, t);
+      bl_compare_digest (d, t, msg);
       return;
     }
   t->busy = msg->load;
@@ -270,7 +194,7 @@
       msg.record_count = 1;
       msg.records = &d->settings.self;
     }
-  send_msg (d, from, &msg);
+  bl_members_send (d, from, &msg);
 }
 
 int
@@ -280,14 +204,23 @@
 {
   struct bl_target *t;
 
-  if (msg->type != BL_MSG_HELLO && msg->type != BL_MSG_STATUS
-      && msg->type != BL_MSG_RECORDS)
-    return BL_EFORMAT;
-  learn_all (d, msg);
-  t = bl_fleet_find (&d->fleet, &msg->from);
-  if (t != NULL && msg->type != BL_MSG_RECORDS)
-    on_status (d, from, t, msg);
-  if (msg->type == BL_MSG_HELLO)
-    answer_status (d, from, msg);
-  return BL_OK;
+  switch (msg->type)
+    {
+    case BL_MSG_HELLO:
+    case BL_MSG_STATUS:
+      learn_all (d, msg);
+      t = bl_fleet_find (&d->fleet, &msg->from);
+      if (t != NULL)
+        on_status (d, t, msg);
+      if (msg->type == BL_MSG_HELLO)
+        answer_status (d, from, msg);
+      return BL_OK;
+    case BL_MSG_PULL_RECORDS:
+      return bl_compare_answer (d, from, msg);
+    case BL_MSG_RECORDS:
+      learn_all (d, msg);
+      return BL_OK;
+    default:
+      return BL_EFORMAT;
+    }
 }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -20,7 +20,7 @@
   bool suspect; /* has left a question open for too long */
   bool dark;    /* has answered nothing for so long that it counts as gone */
   uint64_t config_version; /* a balancer's */
-  uint64_t digest;         /* of a balancer's records */
+  uint64_t round_ms;       /* of comparison it was asked in; 0: none open */
   /* Load, as last told, and what was placed there since.  */
   uint32_t busy;
   uint32_t flows;
--- a/core/msg.c
+++ b/core/msg.c
@@ -329,7 +329,8 @@
   if (w->err != BL_OK)
     return;
   if (o->type != MSGPACK_OBJECT_BIN
-      || (o->via.bin.size != 0 && o->via.bin.size != BL_BUCKETS * 8))
+      || (o->via.bin.size != 0 && o->via.bin.size != BL_BUCKETS * 8
+          && o->via.bin.size != BL_BUCKETS * 4))
     w->err = BL_EFORMAT;
   else if (o->via.bin.size > 0)
     w->err = copy_text (&msg->buckets, o->via.bin.ptr, o->via.bin.size);
--- a/core/msg.h
+++ b/core/msg.h
@@ -58,7 +58,8 @@
   uint32_t flows; /* open at the sender */
   uint32_t ramp;  /* thousandths of its usual share that the sender takes */
   struct bl_names lost;  /* data centres without balancers */
-  struct bl_str buckets; /* BL_BUCKETS digests of 8 bytes, or empty */
+  struct bl_str buckets; /* BL_BUCKETS digests of 8 bytes, or the lower 4 of
+                            them each, or empty */
   size_t record_count;
   struct bl_record *records;
   size_t service_count;
--- a/emulator/emulator.c
+++ b/emulator/emulator.c
@@ -295,7 +295,7 @@
       em_post (em, 10 * STORE_US, read_store, e->index, 0)->tag = e->tag;
       return;
     }
-  if (em->now_us >= b->process.cut_until)
+  if (em->now_us >= b->process.cut_until && em->now_us >= b->untold_until)
     {
       bl_dispatch_configure (b->core, em_now_ms (em), em_table (em));
       for (size_t i = 0; i < em->balancer_count; i++)
--- a/emulator/emulator.h
+++ b/emulator/emulator.h
@@ -123,6 +123,8 @@
 size_t em_add_server (struct em *em, unsigned service, unsigned dc);
 /* Adds a balancer; returns its index.  */
 size_t em_add_balancer (struct em *em, unsigned dc);
+/* The store tells this balancer nothing for FOR_MS; 0: never again.  */
+void em_cut_store (struct em *em, size_t balancer, uint64_t for_ms);
 /* From now on a store that is down tells nobody of instances.  */
 void em_store (struct em *em, bool up);
 /* Multiplies what callers ask for.  */
--- a/emulator/emulator_faults.c
+++ b/emulator/emulator_faults.c
@@ -70,6 +70,12 @@
   em->balancers[balancer].process.cut_until = cut_end (em, for_ms);
 }
 
+void
+em_cut_store (struct em *em, size_t balancer, uint64_t for_ms)
+{
+  em->balancers[balancer].untold_until = cut_end (em, for_ms);
+}
+
 void
 em_drain_server (struct em *em, size_t server)
 {
--- a/emulator/emulator_inner.h
+++ b/emulator/emulator_inner.h
@@ -26,6 +26,7 @@
   struct bl_record self;
   struct bl_dispatch *core; /* owned */
   unsigned misses;          /* of the routers' looks */
+  uint64_t untold_until;    /* microseconds; by the store */
 };
 
 /* A flow at a backend server.  */
