Outdo a record of a later start; compare starts without trusting the clock

One that starts again after its clock was set back loses against its own older record everywhere: an agent that had said that it stops stays so, and its server gets no flows. The same holds for a new instance at a used address. And an agent compared its server's start with its own by the same clock, so it took itself to be the older and denied flows. Ruled out: a counter in the store (it is away just then). Change: a question carries the start of the record that the asker holds; whoever is asked and started before it goes on from there and tells all. An agent takes both to have started together only if their times are within 1.5 s of each other and the server has not sent more heartbeats than fit.

--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -166,6 +166,8 @@
 
 /* dispatch_state.c */
 void bl_dispatch_update_state (struct bl_dispatch *d);
+/* The own record has changed; others hear of it with the next tick.  */
+void bl_dispatch_tell_self (struct bl_dispatch *d, const char *why);
 /* Whether the agents known are all there are, so that their denials together
    prove that nobody holds a flow.  */
 bool bl_dispatch_knows_all (const struct bl_dispatch *d);
--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -180,6 +180,19 @@
   t->born = msg->digest;
 }
 
+/* The asker holds a record of a later start for this address: one from before
+   the clock was set back, or of an instance that is no more.  */
+static void
+outdo (struct bl_dispatch *d, const struct bl_msg *question)
+{
+  struct bl_record *self = &d->settings.self;
+
+  if (!bl_record_is_outdone (self, question->incarnation))
+    return;
+  self->incarnation = question->incarnation + 1;
+  bl_dispatch_tell_self (d, "record_of_later_start");
+}
+
 static void
 answer_status (struct bl_dispatch *d,
                struct bl_addr from,
@@ -213,7 +226,10 @@
       if (t != NULL)
         on_status (d, t, msg);
       if (msg->type == BL_MSG_HELLO)
-        answer_status (d, from, msg);
+        {
+          outdo (d, msg);
+          answer_status (d, from, msg);
+        }
       return BL_OK;
     case BL_MSG_PULL_RECORDS:
       return bl_compare_answer (d, from, msg);
--- a/core/dispatch_state.c
+++ b/core/dispatch_state.c
@@ -93,19 +93,24 @@
          && d->fleet.dark_count < d->fleet.backend_count;
 }
 
-/* Others hear of it with the next tick.  */
-static void
-set_state (struct bl_dispatch *d, enum bl_state state)
+void
+bl_dispatch_tell_self (struct bl_dispatch *d, const char *why)
 {
   struct bl_record *self = &d->settings.self;
 
-  if (self->state == state)
-    return;
-  self->state = state;
   self->seq++;
   d->has_news = true;
   bl_store_put (d->fleet.store, self, 0);
-  bl_dispatch_note (d, "state", bl_state_name (state), NULL, NULL, 0);
+  bl_dispatch_note (d, "state", why, NULL, NULL, 0);
+}
+
+static void
+set_state (struct bl_dispatch *d, enum bl_state state)
+{
+  if (d->settings.self.state == state)
+    return;
+  d->settings.self.state = state;
+  bl_dispatch_tell_self (d, bl_state_name (state));
 }
 
 void
--- a/core/pass.c
+++ b/core/pass.c
@@ -14,13 +14,13 @@
    are told, so that callers of its flows learn at once.  */
 
 #include "core/pass_inner.h"
+#include "core/store.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #define START_TELL_MS 250   /* without an outcome until others are told */
 #define UNSURE_MS     17000 /* flows that live have shown themselves by then */
-#define BORN_SLACK_MS 1500  /* both start together after a loss of power */
 #define IDLE_MS       20000 /* until a flow is forgotten */
 #define CLOSED_MS     3000  /* the same once an end has closed it */
 #define BUSY_MAX_MS   8000  /* an answer that late will not come */
@@ -404,9 +404,7 @@
 static bool
 is_unsure (const struct bl_pass *p)
 {
-  if (p->self.state >= BL_STATE_LEFT || p->left || p->watched)
-    return false;
-  if (p->born != 0 && p->born + BORN_SLACK_MS > p->self.incarnation)
+  if (p->self.state >= BL_STATE_LEFT || p->left || p->watched || p->together)
     return false;
   /* A message may come before the first tick.  */
   return p->started_ms == 0 || p->now - p->started_ms < UNSURE_MS;
@@ -606,6 +604,18 @@
     }
 }
 
+/* The asker holds a record of a later start for this address: one from before
+   the clock was set back, or of an instance that is no more.  The own record
+   would lose against it everywhere.  */
+static void
+outdo (struct bl_pass *p, const struct bl_msg *question)
+{
+  if (!bl_record_is_outdone (&p->self, question->incarnation))
+    return;
+  p->self.incarnation = question->incarnation + 1;
+  bl_pass_announce (p, "record_of_later_start");
+}
+
 int
 bl_pass_message (struct bl_pass *pass,
                  uint64_t now,
@@ -628,6 +638,7 @@
       return err;
     }
   note_watcher (pass, from);
+  outdo (pass, &msg);
   send_status (pass, from,
                msg.seq != pass->self.seq
                    || msg.incarnation != pass->self.incarnation);
--- a/core/pass_backend.c
+++ b/core/pass_backend.c
@@ -8,11 +8,12 @@
 
 #include "core/pass_inner.h"
 
-#define QUIET_MS       150 /* without an answer until a check */
-#define CHECK_MS       250 /* between two checks */
-#define START_CHECK_MS 100 /* the same while it is not known to be there */
-#define START_CHECKS   20  /* checks made then, at most */
-#define MISSED_BEATS   3   /* heartbeats missed until a check */
+#define QUIET_MS       150  /* without an answer until a check */
+#define CHECK_MS       250  /* between two checks */
+#define START_CHECK_MS 100  /* the same while it is not known to be there */
+#define START_CHECKS   20   /* checks made then, at most */
+#define MISSED_BEATS   3    /* heartbeats missed until a check */
+#define TOGETHER_MS    1500 /* between two starts after a loss of power */
 
 /* Another process than before: it holds nothing of what was open.  */
 static void
@@ -46,6 +47,21 @@
          && beat->seq != 0;
 }
 
+/* Whether a backend server, by its first heartbeat that comes here, started
+   when this process did.  The time of day may have jumped between the two, so
+   the count of its heartbeats must agree: one that has sent many is older.  */
+static bool
+started_together (const struct bl_pass *p, const struct bl_heartbeat *beat)
+{
+  int64_t apart = (int64_t)(beat->born - p->settings.self.incarnation);
+  uint64_t running = p->started_ms != 0 ? p->now - p->started_ms : 0;
+  uint64_t sent_in
+      = beat->seq > 1 ? (beat->seq - 1) * p->settings.heartbeat_ms : 0;
+
+  return beat->born != 0 && apart < TOGETHER_MS && apart > -TOGETHER_MS
+         && sent_in <= running + TOGETHER_MS;
+}
+
 int
 bl_pass_heartbeat (struct bl_pass *pass,
                    uint64_t now,
@@ -76,6 +92,7 @@
     {
       pass->backend = beat->id;
       pass->born = beat->born;
+      pass->together = started_together (pass, beat);
     }
   pass->counters[BL_PASS_HEARTBEATS]++;
   pass->beat_seq = beat->seq;
--- a/core/pass_inner.h
+++ b/core/pass_inner.h
@@ -53,6 +53,7 @@
   uint64_t beat_ms; /* last heartbeat; 0: none */
   bool left;
   bool watched;           /* no flow can be older than this process */
+  bool together;          /* the same, for both started in one moment */
   uint64_t unanswered_ms; /* oldest packet without an answer; 0: none */
   bool doubted;           /* it returned what it should have taken */
   uint64_t checked_ms;
--- a/core/store.c
+++ b/core/store.c
@@ -84,6 +84,12 @@
   return (int)a->state - (int)b->state;
 }
 
+bool
+bl_record_is_outdone (const struct bl_record *record, uint64_t incarnation)
+{
+  return incarnation > record->incarnation && incarnation < INT64_MAX;
+}
+
 struct bl_store *
 bl_store_new (void)
 {
--- a/core/store.h
+++ b/core/store.h
@@ -20,6 +20,10 @@
 const struct bl_record *bl_store_get (const struct bl_store *store,
                                       enum bl_kind kind,
                                       const struct bl_name *id);
+/* Whether a record of INCARNATION, held elsewhere, would win over RECORD.
+   False for one that cannot be outdone in turn.  */
+bool bl_record_is_outdone (const struct bl_record *record,
+                           uint64_t incarnation);
 /* What a record adds to a digest; 0 for NULL and for a left or dead one.  */
 uint64_t bl_store_record_digest (const struct bl_record *record);
 bool bl_store_has_news (const struct bl_store *store);
--- a/emulator/emulator.c
+++ b/emulator/emulator.c
@@ -18,17 +18,18 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define TICK_US      20000
-#define ROUTER_US    500000 /* between two looks at who is ready */
-#define HEARTBEAT_US 1200000
-#define STORE_US     30000 /* until a record has come through the store */
-#define ROUTES_IP    0xc6120001u
-#define BALANCER_NET 0x0a000000u
-#define AGENT_NET    0x0a010000u
-#define CALLER_NET   0x64400000u
-#define DATA_PORT    1
-#define CONTROL_PORT 2
-#define FIRST_PORT   8000 /* of the first class */
+#define TICK_US        20000
+#define TIME_OF_DAY_MS 1800000000000u /* when a run begins */
+#define ROUTER_US      500000         /* between two looks at who is ready */
+#define HEARTBEAT_US   1200000
+#define STORE_US       30000 /* until a record has come through the store */
+#define ROUTES_IP      0xc6120001u
+#define BALANCER_NET   0x0a000000u
+#define AGENT_NET      0x0a010000u
+#define CALLER_NET     0x64400000u
+#define DATA_PORT      1
+#define CONTROL_PORT   2
+#define FIRST_PORT     8000 /* of the first class */
 
 uint64_t
 em_now_ms (const struct em *em)
@@ -37,6 +38,12 @@
   return em->now_us / 1000 + 1;
 }
 
+uint64_t
+em_time_of_day (const struct em *em)
+{
+  return TIME_OF_DAY_MS + em->now_us / 1000 + (uint64_t)em->clock_off_ms;
+}
+
 double
 em_exponential (struct em *em, double mean)
 {
@@ -331,7 +338,7 @@
 
   b->process.alive = true;
   b->process.generation++;
-  b->self.incarnation = em->now_us / 1000 + 1;
+  b->self.incarnation = em_time_of_day (em);
   b->self.seq = 1;
   settings.self = b->self;
   settings.seed_count = em->balancer_count < 3 ? em->balancer_count : 3;
@@ -557,7 +564,7 @@
       .ip = s->ip,
       .data_port = DATA_PORT,
       .control_port = CONTROL_PORT,
-      .incarnation = em->now_us / 1000 + 1,
+      .incarnation = em_time_of_day (em),
     },
     .heartbeat_ms = HEARTBEAT_US / 1000,
   };
@@ -635,7 +642,7 @@
 
   s->alive = true;
   s->generation++;
-  s->born = em->now_us / 1000 + 1;
+  s->born = em_time_of_day (em);
   s->beats = 0;
   s->draining = false;
   s->drained_us = 0;
--- a/emulator/emulator.h
+++ b/emulator/emulator.h
@@ -127,6 +127,8 @@
 void em_cut_store (struct em *em, size_t balancer, uint64_t for_ms);
 /* From now on a store that is down tells nobody of instances.  */
 void em_store (struct em *em, bool up);
+/* Processes that start from now on read a time of day that is off by MS.  */
+void em_set_clocks (struct em *em, int64_t ms);
 /* Multiplies what callers ask for.  */
 void em_press (struct em *em, double factor);
 /* Puts the routes of VERSION in force, without those of class DROPPED; a
--- a/emulator/emulator_faults.c
+++ b/emulator/emulator_faults.c
@@ -4,6 +4,12 @@
 
 #define START_US 50000 /* a process is up after */
 
+void
+em_set_clocks (struct em *em, int64_t ms)
+{
+  em->clock_off_ms = ms;
+}
+
 void
 em_kill_balancer (struct em *em, size_t balancer, uint64_t down_ms)
 {
--- a/emulator/emulator_inner.h
+++ b/emulator/emulator_inner.h
@@ -92,6 +92,7 @@
   struct events events;
   uint64_t now_us;
   bool store_up;
+  int64_t clock_off_ms;
   bool trace;
   uint64_t routes_version;
   size_t dropped;
@@ -129,6 +130,8 @@
 
 /* The core's clock, in milliseconds.  */
 uint64_t em_now_ms (const struct em *em);
+/* The time of day that a process which starts now reads.  */
+uint64_t em_time_of_day (const struct em *em);
 void em_start_server (void *ctx, struct event *e);
 void em_heartbeat (void *ctx, struct event *e);
 void em_restart_agent (void *ctx, struct event *e);
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -182,6 +182,19 @@
   em_kill_balancer (em, 1, 3000);
 }
 
+/* Agents and balancers start again while clocks stand before their last start,
+   and others at addresses of before.  */
+static void
+clocks_set_back (struct em *em)
+{
+  em_set_clocks (em, -20000);
+  for (size_t i = 0; i < em_server_count (em); i++)
+    em_stop_agent (em, i, 300);
+  em_run (em, em_now (em) + 3000);
+  for (size_t i = 0; i < em_balancer_count (em); i += 2)
+    em_kill_balancer (em, i, 300);
+}
+
 /* What a run must keep, beside what all must.  */
 struct kept
 {
@@ -209,6 +222,7 @@
   { "servers cut", servers_cut, { 0, 0.95 } },
   { "balancer cut", balancer_cut, { 0, 0.90 } },
   { "route dropped", route_dropped, { 0, 0.90 } },
+  { "clocks set back", clocks_set_back, { 0, 0.95 } },
   { "flows move to the uninformed", flows_move_to_the_uninformed, { 0, 0.95 } },
 };
 
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -2,6 +2,7 @@
 
    Each case is a list of steps and the state that the agent then tells.  */
 
+#include "core/msg.h"
 #include "core/pass.h"
 
 #include <setjmp.h>
@@ -362,6 +363,18 @@
       { READY, INCARNATION + 10, 1 },
       10,
       BL_LINK_DENIED },
+    { "its server's clock was ahead",
+      { READY, INCARNATION + 20000, 30 },
+      10,
+      BL_LINK_UNSURE },
+    { "the clock was set back by its server's age",
+      { READY, INCARNATION, 6 },
+      10,
+      BL_LINK_UNSURE },
+    { "its server's heartbeats could not come while it started",
+      { READY, INCARNATION - 300, 2 },
+      10,
+      BL_LINK_DENIED },
     { "there is no server", { GONE, 0, 0 }, 10, BL_LINK_DENIED },
     { "all flows have shown themselves",
       { READY, INCARNATION - 60000, 1 },
@@ -381,6 +394,42 @@
     }
 }
 
+/* A record of a later start for the own address is held elsewhere: from before
+   the clock was set back, or of an instance that was at the address.  */
+static void
+test_outdoes_later_start (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    uint64_t held;
+    uint64_t want;
+  } cases[] = {
+    { "an older one", INCARNATION - 1, INCARNATION },
+    { "the own one", INCARNATION, INCARNATION },
+    { "a later one", INCARNATION + 7000, INCARNATION + 7001 },
+    { "one that nothing can outdo", UINT64_MAX, INCARNATION },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct seen seen = { .delivered = 0 };
+      struct bl_pass *p = new_agent (&seen);
+      struct bl_buffer buffer = { .len = 0 };
+      struct bl_msg msg
+          = { .type = BL_MSG_HELLO, .incarnation = cases[i].held };
+      bl_name_set (&msg.from, bl_str_of ("b"));
+      assert_int_equal (bl_msg_encode (&msg, &buffer), BL_OK);
+      bl_pass_message (p, 10, (struct bl_addr){ 20, 2 }, buffer.ptr,
+                       buffer.len);
+      if (bl_pass_record (p)->incarnation != cases[i].want)
+        fail_msg ("%s", cases[i].name);
+      bl_buffer_free (&buffer);
+      bl_pass_free (p);
+    }
+}
+
 /* What an agent is asked before its first tick, it cannot know either.  */
 static void
 test_asked_before_first_tick (void **state)
@@ -494,6 +543,7 @@
     cmocka_unit_test (test_first_packets),
     cmocka_unit_test (test_crowded),
     cmocka_unit_test (test_who_may_deny),
+    cmocka_unit_test (test_outdoes_later_start),
     cmocka_unit_test (test_asked_before_first_tick),
     cmocka_unit_test (test_flows),
     cmocka_unit_test (test_port_used_again),
