Tell a paused peer from one that has ended by refused datagrams

Change: queries go to dead peers as well. Where no process listens any more, the instance turns them down, and the kernel's error queue (IP_RECVERR) says which address that was. Only while a dead peer was not turned down do the denials have to be 20 s apart. A send that fails for an earlier refusal is made again. An instance that loses power is told from a paused one by time alone: its callers wait longer (docs/PROOFS.md).

--- a/boragelatch.h
+++ b/boragelatch.h
@@ -523,6 +523,10 @@
                       struct bl_addr from,
                       const uint8_t *buf,
                       size_t len);
+/* A datagram to ADDR, a control address, was turned down by the instance there:
+   no process listens.  Tells one that has ended from one that is paused.  */
+void
+bl_agent_refused (struct bl_agent *agent, uint64_t now, struct bl_addr addr);
 /* A datagram on the data address: forwarding header and packet.  Returns
    BL_OK also when the packet was dropped for want of an owner.  */
 int bl_agent_packet (struct bl_agent *agent,
--- a/core/agent.h
+++ b/core/agent.h
@@ -9,6 +9,15 @@
 
 #define BL_KEEPERS_MAX 8 /* members named in an answer to an announcement */
 
+/* An incarnation of a peer that is known to have ended.  */
+struct bl_ended
+{
+  uint64_t hash; /* of its name; 0: no entry */
+  uint64_t incarnation;
+};
+
+#define BL_ENDED_MAX 64 /* the latest; a forgotten one is found out again */
+
 struct bl_agent
 {
   struct bl_agent_settings settings;
@@ -38,6 +47,8 @@
   bool behind;            /* a keeper named another digest than the view's */
   uint64_t told_digest;   /* that digest */
   struct bl_name told_by; /* that keeper */
+  struct bl_ended ended[BL_ENDED_MAX];
+  size_t ended_next; /* entry that is overwritten next */
   /* Load reports.  */
   uint32_t reported_load;
   uint32_t reported_ramp;
--- a/core/agent_search.c
+++ b/core/agent_search.c
@@ -5,7 +5,12 @@
    is says so, and later packets go there directly.  When every living peer in
    a confirmed view has denied it twice, RESET_AFTER_MS apart, the caller is
    reset: that is longer than a change takes to be known everywhere, so a peer
-   that joined meanwhile has become visible.  */
+   that joined meanwhile has become visible.
+
+   A peer that is declared dead may be paused, and hold the flow when it wakes.
+   One that has ended is told from it by the queries that all dead ones get:
+   where no process listens, the instance turns them down.  While one is neither
+   turned down nor heard, the denials must be PAUSE_MS apart.  */
 
 #include "core/agent.h"
 
@@ -13,7 +18,8 @@
 #include <string.h>
 
 #define RESET_AFTER_MS    5000  /* between two denials of a flow */
-#define DENIED_MAX_MS     30000 /* an older denial says nothing any more */
+#define PAUSE_MS          20000 /* the same while a dead peer may be paused */
+#define DENIED_MAX_MS     60000 /* an older denial says nothing any more */
 #define VIEW_FRESH_MS     5000  /* since a keeper confirmed the view */
 #define SEARCH_TIMEOUT_MS 400
 #define SEARCH_RATE       200 /* searches a second */
@@ -56,11 +62,39 @@
          && agent->now - agent->view.confirmed_ms <= VIEW_FRESH_MS;
 }
 
+static bool
+has_ended (const struct bl_agent *agent, const struct bl_candidate *c)
+{
+  for (size_t i = 0; i < BL_ENDED_MAX; i++)
+    if (agent->ended[i].hash == c->hash
+        && agent->ended[i].incarnation == c->incarnation)
+      return true;
+  return false;
+}
+
+void
+bl_agent_refused (struct bl_agent *agent, uint64_t now, struct bl_addr addr)
+{
+  const struct bl_pool *pool = &agent->view.pool;
+
+  agent->now = now;
+  for (size_t i = 0; i < pool->count; i++)
+    {
+      const struct bl_candidate *c = &pool->items[i];
+      if (!c->gone || !bl_addr_equal (c->control, addr) || has_ended (agent, c))
+        continue;
+      agent->ended[agent->ended_next]
+          = (struct bl_ended){ c->hash, c->incarnation };
+      agent->ended_next = (agent->ended_next + 1) % BL_ENDED_MAX;
+    }
+}
+
 /* Every peer has denied the flow.  */
 static void
 search_denied (struct bl_agent *agent, struct bl_flow *flow)
 {
   struct bl_search *search = &flow->search;
+  uint64_t apart_ms = search->maybe_paused ? PAUSE_MS : RESET_AFTER_MS;
   struct bl_packet packet;
 
   if (!view_is_fresh (agent))
@@ -68,7 +102,7 @@
   else if (search->denied_ms == 0
            || agent->now - search->denied_ms > DENIED_MAX_MS)
     search->denied_ms = agent->now;
-  else if (agent->now - search->denied_ms >= RESET_AFTER_MS
+  else if (agent->now - search->denied_ms >= apart_ms
            && bl_packet_parse (&packet, search->held, search->held_len)
                   == BL_OK)
     {
@@ -101,6 +135,8 @@
       /* One that is declared dead is asked, but not waited for.  */
       if (!c->gone)
         search->awaited[search->pending++] = c->hash;
+      else if (!has_ended (agent, c))
+        search->maybe_paused = true;
       bl_agent_send (agent, c->control, &msg);
     }
 }
@@ -135,6 +171,7 @@
   search->ack = a->packet.ack;
   search->seq = ++agent->next_seq;
   search->started_ms = agent->now;
+  search->maybe_paused = false;
   ask_peers (agent, flow, a->packet.ack);
   if (search->pending == 0)
     search_denied (agent, flow);
--- a/core/flows.h
+++ b/core/flows.h
@@ -23,6 +23,7 @@
   uint64_t started_ms;
   uint64_t denied_ms; /* when all peers first denied; 0: never */
   size_t pending;     /* peers that have not answered */
+  bool maybe_paused;  /* one that is declared dead may yet wake */
   uint64_t *awaited;  /* owned; hashes of their names */
   uint8_t *held;      /* owned; the packet that waits */
   size_t held_len;
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -158,7 +158,9 @@
   struct bl_addr from;
   int n;
 
-  (void)events;
+  if (events & EPOLLERR)
+    while (io_udp_refused (source->fd, &from) == 0)
+      bl_agent_refused (a->core, io_now_ms (), from);
   while ((n = io_udp_receive (source->fd, &from, a->datagram, DATAGRAM_CAP))
          >= 0)
     bl_agent_message (a->core, io_now_ms (), from, a->datagram, (size_t)n);
@@ -466,6 +468,7 @@
                           on_control)
              != 0)
     return -1;
+  io_udp_watch_refusals (a->control.source.fd);
   a->proxy = proxy_new (a->loop, s->backend, (uint32_t)s->slots, s->random_seed,
                         &proxy_ops, a);
   a->bulk = io_bulk_new (a->loop, (struct bl_addr){ .port = 0 }, &bulk_ops, a);
--- a/io/io.h
+++ b/io/io.h
@@ -95,6 +95,12 @@
                        size_t head_len,
                        const void *body,
                        size_t body_len);
+/* Asks the kernel to keep what it hears of datagrams that could not be
+   delivered.  */
+void io_udp_watch_refusals (int fd);
+/* The destination of a datagram that was turned down since no process listens
+   there, into TO.  Returns 0, or -1 when there is none.  */
+int io_udp_refused (int fd, struct bl_addr *to);
 /* Returns the length of one datagram, or -1 when there is none.  */
 int io_udp_receive (int fd, struct bl_addr *from, void *buf, size_t cap);
 
--- a/io/udp.c
+++ b/io/udp.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <linux/errqueue.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
@@ -68,8 +69,13 @@
 io_udp_send (int fd, struct bl_addr to, const void *buf, size_t len)
 {
   struct sockaddr_in sa = to_sockaddr (to);
-  return (int)sendto (fd, buf, len, MSG_DONTWAIT, (struct sockaddr *)&sa,
-                      sizeof sa);
+  ssize_t n
+      = sendto (fd, buf, len, MSG_DONTWAIT, (struct sockaddr *)&sa, sizeof sa);
+
+  /* Where refusals are watched, one of an earlier datagram is told here.  */
+  if (n < 0 && errno == ECONNREFUSED)
+    n = sendto (fd, buf, len, MSG_DONTWAIT, (struct sockaddr *)&sa, sizeof sa);
+  return (int)n;
 }
 
 int
@@ -110,6 +116,53 @@
   return (int)n;
 }
 
+void
+io_udp_watch_refusals (int fd)
+{
+  int on = 1;
+  setsockopt (fd, IPPROTO_IP, IP_RECVERR, &on, sizeof on);
+}
+
+static bool
+is_refusal (struct msghdr *msg)
+{
+  for (struct cmsghdr *c = CMSG_FIRSTHDR (msg); c != NULL;
+       c = CMSG_NXTHDR (msg, c))
+    {
+      struct sock_extended_err err;
+      if (c->cmsg_level != IPPROTO_IP || c->cmsg_type != IP_RECVERR)
+        continue;
+      memcpy (&err, CMSG_DATA (c), sizeof err);
+      return err.ee_errno == ECONNREFUSED;
+    }
+  return false;
+}
+
+int
+io_udp_refused (int fd, struct bl_addr *to)
+{
+  struct sockaddr_in sa;
+  char control[CMSG_SPACE (sizeof (struct sock_extended_err)
+                           + sizeof (struct sockaddr_in))];
+
+  /* Other errors are stepped over.  */
+  for (;;)
+    {
+      struct msghdr msg = {
+        .msg_name = &sa,
+        .msg_namelen = sizeof sa,
+        .msg_control = control,
+        .msg_controllen = sizeof control,
+      };
+      if (recvmsg (fd, &msg, MSG_ERRQUEUE | MSG_DONTWAIT) < 0)
+        return -1;
+      if (!is_refusal (&msg))
+        continue;
+      *to = from_sockaddr (&sa);
+      return 0;
+    }
+}
+
 struct io_batch *
 io_batch_new (void)
 {
--- a/test/fake.c
+++ b/test/fake.c
@@ -494,7 +494,13 @@
       return;
     }
   if (!e->alive)
-    return;
+    {
+      if (m->kind == TO_CONTROL && f->ends[m->from_end].kind == FAKE_AGENT
+          && f->ends[m->from_end].alive)
+        bl_agent_refused (f->ends[m->from_end].agent, f->now,
+                          addr_of (e, PORT_CONTROL));
+      return;
+    }
   switch (m->kind)
     {
     case TO_DATA:
