--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -266,6 +266,8 @@
       bl_inquiry_start (d, f, b);
       return;
     }
+  bl_dispatch_note (d, "placed", "accepted", &f->key, chosen->target,
+                    d->now - f->since_ms);
   bl_passing_open (d, f, chosen->target, chosen->born);
   pass_on_open (d, f, b);
 }
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -16,6 +16,7 @@
   CTL_CONFLICT = 3,    /* somebody else changed the same; nothing was changed */
   CTL_UNREACHABLE = 4, /* no answer; nothing was changed unless said so */
   CTL_NOT_IN_FORCE = 5, /* accepted, but not in force everywhere in time */
+  CTL_NOT_FOUND = 6,    /* nothing is known of what was asked about */
 };
 
 struct ctl
@@ -37,6 +38,9 @@
 enum ctl_exit ctl_wait (const struct ctl *ctl, uint64_t version);
 
 enum ctl_exit ctl_show (const struct ctl *ctl, const char *what);
+/* Prints what the logs in FILES, up to a NULL, tell of FLOW, and what ended it.
+ */
+enum ctl_exit ctl_explain (const char *flow, const char *const *files);
 /* GETs http://ADDR/v1/status; NULL without an answer.  */
 json_t *ctl_status (const char *addr);
 
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -28,7 +28,7 @@
   const char *name;
   const char *arguments;
   const char *help;
-  int argument_count;
+  int argument_count; /* negative: at least so many, less one */
   enum ctl_exit (*run) (struct flags *flags, const char **args);
 };
 
@@ -235,9 +235,18 @@
   return ctl_wait (&flags->ctl, strtoul (args[0], NULL, 10));
 }
 
+static enum ctl_exit
+run_explain (struct flags *flags, const char **args)
+{
+  (void)flags;
+  return ctl_explain (args[0], args + 1);
+}
+
 static enum ctl_exit run_help (struct flags *flags, const char **args);
 static enum ctl_exit run_words (struct flags *flags, const char **args);
 
+#define MORE(count) (-(count)-1) /* COUNT arguments or more */
+
 static const struct command commands[] = {
   { "show", "services|backends|balancers|flows|changes",
     "what is in force and where", 1, run_show },
@@ -255,6 +264,9 @@
     1, run_apply },
   { "wait", "VERSION", "waits until a version is in force everywhere", 1,
     run_wait },
+  { "explain", "CALLER:PORT[-ADDRESS:PORT] FILE|-...",
+    "tells from the logs of instances what became of a flow", MORE (2),
+    run_explain },
   { "help", "COMMAND", "says what a command does", 1, run_help },
   { "words", "", "lists the commands, for completion in a shell", 0,
     run_words },
@@ -332,7 +344,8 @@
       print_commands (stderr);
       return CTL_USAGE;
     }
-  if (count - 1 == c->argument_count)
+  if (count - 1 == c->argument_count
+      || (c->argument_count < 0 && count >= -c->argument_count))
     return c->run (flags, args + 1);
   print_command (stderr, c);
   return CTL_USAGE;
--- a/daemon/admin.c
+++ b/daemon/admin.c
@@ -253,13 +253,15 @@
 }
 
 struct admin *
-admin_start (uint32_t ip,
-             unsigned long port,
+admin_start (struct bl_addr addr,
+             unsigned long extra_port,
              const struct admin_ops *ops,
              void *ctx)
 {
-  struct bl_addr addr = { ip, (uint16_t)port };
-  char listen[BL_ADDR_TEXT_MAX];
+  const struct bl_addr extra = { addr.ip, (uint16_t)extra_port };
+  char first[BL_ADDR_TEXT_MAX];
+  char second[BL_ADDR_TEXT_MAX];
+  char listen[2 * BL_ADDR_TEXT_MAX + 1];
   const char *options[]
       = { "listening_ports", listen, "num_threads", "4", NULL };
   struct admin *a = calloc (1, sizeof *a);
@@ -269,7 +271,9 @@
   a->ops = *ops;
   a->ctx = ctx;
   a->addr = addr;
-  bl_addr_format (addr, listen);
+  snprintf (listen, sizeof listen, "%s%s%s", bl_addr_format (addr, first),
+            extra_port != 0 ? "," : "",
+            extra_port != 0 ? bl_addr_format (extra, second) : "");
   mg_init_library (0);
   a->http = mg_start (NULL, NULL, options);
   if (a->http == NULL)
--- a/daemon/agent.c
+++ b/daemon/agent.c
@@ -472,7 +472,8 @@
   a->proxy = proxy_new (a->loop, s->backend, (uint32_t)s->slots, s->random_seed,
                         &proxy_ops, a);
   a->bulk = io_bulk_new (a->loop, (struct bl_addr){ .port = 0 }, &bulk_ops, a);
-  a->admin = admin_start (s->ip, s->admin_port, &admin_ops, a);
+  a->admin = admin_start ((struct bl_addr){ s->ip, (uint16_t)s->admin_port }, 0,
+                          &admin_ops, a);
   if (a->proxy == NULL || a->bulk == NULL || a->admin == NULL)
     {
       io_log (IO_ERROR, "cannot_bind", "admin_port=%lu", s->admin_port);
--- a/daemon/balancer.c
+++ b/daemon/balancer.c
@@ -387,7 +387,8 @@
              != 0)
     return -1;
   b->bulk = io_bulk_new (b->loop, bulk, &bulk_ops, b);
-  b->admin = admin_start (s->ip, s->admin_port, &admin_ops, b);
+  b->admin = admin_start ((struct bl_addr){ s->ip, (uint16_t)s->admin_port }, 0,
+                          &admin_ops, b);
   if (b->bulk == NULL || b->admin == NULL)
     {
       io_log (IO_ERROR, "cannot_bind", "bulk_port=%lu admin_port=%lu",
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -56,8 +56,10 @@
   void (*unlock) (void *ctx);
 };
 
-struct admin *admin_start (uint32_t ip,
-                           unsigned long port,
+/* Serves at ADDR, and at EXTRA_PORT of the same instance unless it is 0.  NULL
+   when either cannot be had.  */
+struct admin *admin_start (struct bl_addr addr,
+                           unsigned long extra_port,
                            const struct admin_ops *ops,
                            void *ctx);
 void admin_stop (struct admin *admin);
@@ -190,6 +192,9 @@
                         uint64_t now,
                         const char *what,
                         uint64_t *suppressed);
+#define RECORD_TEXT_MAX 48
+/* The version of a record, "INCARNATION.SEQ", or "-" for NULL.  */
+const char *record_format (const struct bl_record *record, char *buf);
 #define FLOW_TEXT_MAX 64
 /* "1.2.3.4:5-6.7.8.9:10", or "-" for NULL.  */
 const char *flow_format (const struct bl_flow_key *flow, char *buf);
--- a/daemon/decision_log.c
+++ b/daemon/decision_log.c
@@ -80,6 +80,15 @@
   return true;
 }
 
+const char *
+record_format (const struct bl_record *record, char *buf)
+{
+  if (record == NULL)
+    return "-";
+  snprintf (buf, RECORD_TEXT_MAX, "%lu.%u", record->incarnation, record->seq);
+  return buf;
+}
+
 const char *
 flow_format (const struct bl_flow_key *flow, char *buf)
 {
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -190,14 +190,19 @@
 {
   struct dispatcher *d = ctx;
   char flow[FLOW_TEXT_MAX];
+  char record[RECORD_TEXT_MAX];
   uint64_t suppressed;
 
   if (!decision_log_pass (d->log, io_now_ms (), decision->what, &suppressed))
     return;
   io_log (IO_INFO, decision->what,
-          "flow=%s why=%s target=%s age_ms=%lu version=%lu suppressed=%lu",
+          "flow=%s why=%s target=%s record=%s age_ms=%lu version=%lu "
+          "suppressed=%lu",
           flow_format (decision->flow, flow), decision->why,
           decision->target != NULL ? decision->target->id.s : "-",
+          record_format (decision->target != NULL ? &decision->target->record
+                                                  : NULL,
+                         record),
           decision->age_ms, decision->version, suppressed);
 }
 
@@ -532,14 +537,15 @@
                           on_control)
              != 0)
     return -1;
-  d->admin = admin_start (s->http.ip, s->http.port, &admin_ops, d);
+  d->admin = admin_start (s->http, s->metrics_port, &admin_ops, d);
   if (d->admin != NULL)
     {
       admin_handle (d->admin, PLATFORM_READY_PATH "$", on_readiness);
       admin_handle (d->admin, ROUTES_PATH "$", on_routes_request);
       return 0;
     }
-  io_log (IO_ERROR, "cannot_bind", "http_port=%u", s->http.port);
+  io_log (IO_ERROR, "cannot_bind", "http_port=%u metrics_port=%lu",
+          s->http.port, s->metrics_port);
   return -1;
 }
 
@@ -613,6 +619,8 @@
 dispatcher_run (const struct settings *settings)
 {
   struct dispatcher *d = calloc (1, sizeof *d);
+  char address[BL_ADDR_TEXT_MAX];
+  char record[RECORD_TEXT_MAX];
   int status = 1;
 
   if (d == NULL)
@@ -624,8 +632,11 @@
       io_loop_set_lock (d->loop, lock, unlock, d);
       io_loop_set_tick (d->loop, TICK_MS, on_tick, d);
       io_log (IO_INFO, "started",
-              "role=balancer transport=datagram id=%s dc=%s", settings->id.s,
-              settings->dc.s);
+              "role=balancer transport=datagram id=%s dc=%s address=%s "
+              "record=%s",
+              settings->id.s, settings->dc.s,
+              bl_addr_format (settings->packets, address),
+              record_format (&d->self, record));
       io_loop_run (d->loop);
       status = 0;
     }
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -241,14 +241,17 @@
 {
   struct passthrough *p = ctx;
   char text[FLOW_TEXT_MAX];
+  char record[RECORD_TEXT_MAX];
   uint64_t suppressed;
 
   if (!decision_log_pass (p->log, io_now_ms (), what, &suppressed))
     return;
-  io_log (IO_INFO, what,
-          "flow=%s why=%s age_ms=%lu busy=%u flows=%zu suppressed=%lu",
-          flow_format (flow, text), why, age_ms, bl_pass_busy (p->core),
-          bl_pass_flow_count (p->core), suppressed);
+  io_log (
+      IO_INFO, what,
+      "flow=%s why=%s record=%s age_ms=%lu busy=%u flows=%zu suppressed=%lu",
+      flow_format (flow, text), why,
+      record_format (bl_pass_record (p->core), record), age_ms,
+      bl_pass_busy (p->core), bl_pass_flow_count (p->core), suppressed);
 }
 
 /* -- heartbeats -- */
@@ -430,12 +433,13 @@
 {
   const struct settings *s = p->settings;
 
-  p->admin = admin_start (s->http.ip, s->http.port, &admin_ops, p);
-  p->beats = admin_start (s->heartbeats.ip, s->heartbeats.port, &admin_ops, p);
+  p->admin = admin_start (s->http, s->metrics_port, &admin_ops, p);
+  p->beats = admin_start (s->heartbeats, 0, &admin_ops, p);
   if (p->admin == NULL || p->beats == NULL)
     {
-      io_log (IO_ERROR, "cannot_bind", "http_port=%u heartbeats_port=%u",
-              s->http.port, s->heartbeats.port);
+      io_log (IO_ERROR, "cannot_bind",
+              "http_port=%u metrics_port=%lu heartbeats_port=%u", s->http.port,
+              s->metrics_port, s->heartbeats.port);
       return -1;
     }
   admin_handle (p->admin, PLATFORM_READY_PATH "$", on_readiness);
@@ -493,6 +497,8 @@
 passthrough_run (const struct settings *settings)
 {
   struct passthrough *p = calloc (1, sizeof *p);
+  char address[BL_ADDR_TEXT_MAX];
+  char record[RECORD_TEXT_MAX];
   int status = 1;
 
   if (p == NULL)
@@ -503,8 +509,11 @@
     {
       io_loop_set_lock (p->loop, lock, unlock, p);
       io_loop_set_tick (p->loop, TICK_MS, on_tick, p);
-      io_log (IO_INFO, "started", "role=agent transport=datagram id=%s dc=%s",
-              settings->id.s, settings->dc.s);
+      io_log (IO_INFO, "started",
+              "role=agent transport=datagram id=%s dc=%s address=%s record=%s",
+              settings->id.s, settings->dc.s,
+              bl_addr_format (settings->packets, address),
+              record_format (bl_pass_record (p->core), record));
       io_loop_run (p->loop);
       status = 0;
     }
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -88,6 +88,8 @@
     "UDP address for packets that the backend server sends" },
   { "http", DATAGRAM_ROLES, true, "", read_addr, AT (http), 0,
     "HTTP address for readiness and metrics" },
+  { "metrics-port", DATAGRAM_ROLES, false, "0", read_number, AT (metrics_port),
+    65535, "a second HTTP port, where metrics are collected; 0: none" },
   { "heartbeats", ROLE_PASSTHROUGH, true, "", read_addr, AT (heartbeats), 0,
     "HTTP address for the backend server's heartbeats" },
   { "store", DATAGRAM_ROLES, true, "", read_addr, AT (store), 0,
