Explain a flow from the logs of many instances

Cause: an engineer on call had to grep all logs for a flow and put the lines in order by clocks that differ; where a first packet went was not logged, and the version of the record that a decision rested on neither. Ruled out: ordering by clock with an offset estimated per pair (nothing bounds the error); vector clocks on messages (every datagram would carry them). Change: lines name the record's version, and each placement is a line within the same budget. boragelatchctl explain merges logs by time but lets no line come before what it follows from: a balancer names a record after its agent announced it, and tells of a refusal after it. A request's id is in the caller's log only: balancers do not read requests.

--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -6,24 +6,32 @@
 #include <errno.h>
 #include <string.h>
 
-static const char *
-base_name (const char *path)
+#define INSTANCE_MAX 64
+
+/* The instance whose log PATH is, unless the log tells: the file's name without
+   its ending.  */
+static void
+instance_of (const char *path, char *out, size_t cap)
 {
   const char *slash = strrchr (path, '/');
-  return slash != NULL ? slash + 1 : path;
+  const char *name = slash != NULL ? slash + 1 : path;
+
+  snprintf (out, cap, "%.*s", (int)strcspn (name, "."), name);
 }
 
 static bool
 read_file (struct story *story, const char *path)
 {
   FILE *in = strcmp (path, "-") == 0 ? stdin : fopen (path, "r");
+  char instance[INSTANCE_MAX];
 
   if (in == NULL)
     {
       fprintf (stderr, "%s: %s\n", path, strerror (errno));
       return false;
     }
-  story_read (story, in, base_name (path));
+  instance_of (path, instance, sizeof instance);
+  story_read (story, in, instance);
   if (in != stdin)
     fclose (in);
   return true;
--- a/ctl/story.c
+++ b/ctl/story.c
@@ -330,19 +330,41 @@
   return false;
 }
 
+/* Whether LINE tells of a version of its instance NAME's record that a line of
+   the flow names, or of one that led to it.  Clocks say nothing here.  */
+static bool
+is_named (const struct story *story, const char *name, const struct line *line)
+{
+  struct source *s;
+  struct line *by;
+
+  if (line->incarnation == 0)
+    return false;
+  LL_FOREACH (story->sources, s)
+  LL_FOREACH (s->lines, by)
+  if (by->flow.len > 1 && is_word (by->target, name)
+      && by->incarnation == line->incarnation && by->seq >= line->seq)
+    return true;
+  return false;
+}
+
 static bool
 is_wanted (const struct story *story,
+           const char *name,
            const struct line *line,
            const struct span *span)
 {
-  if (line->flow.len > 1)
+  bool is_state
+      = is_any (line->event, states, sizeof states / sizeof states[0]);
+
+  if (line->flow.len > 1 || (is_state && is_named (story, name, line)))
     return true;
   if (line->ms < span->first - BEFORE_MS || line->ms > span->last + AFTER_MS)
     return false;
   if (is_word (line->event, "instance_learnt")
       || is_word (line->event, "backend_restarted"))
     return is_involved (story, line->target);
-  return is_any (line->event, states, sizeof states / sizeof states[0])
+  return is_state
          || is_any (line->event, beliefs, sizeof beliefs / sizeof beliefs[0]);
 }
 
@@ -357,7 +379,7 @@
   {
     bool involved = is_involved (story, bl_str_of (s->name));
     LL_FOREACH (s->lines, line)
-    line->wanted = involved && is_wanted (story, line, &span);
+    line->wanted = involved && is_wanted (story, s->name, line, &span);
     s->head = s->lines;
   }
 }
--- /dev/null
+++ b/test/process_explain.sh
@@ -0,0 +1,36 @@
+#!/bin/bash
+# process_explain.sh -- boragelatchctl explain on recorded logs, against a
+# golden file
+#
+# test/logs holds what instances wrote about a few flows of played days;
+# clock-ahead is server-gone with the agent's clock 5 s ahead.  With UPDATE=1 the
+# golden file is written anew.
+
+cd "$(dirname "$0")/.." || exit 1
+golden=test/golden/explain.txt
+out=$(mktemp -d)
+trap 'rm -rf "$out"' EXIT
+
+run () {
+  echo "\$ boragelatchctl explain $*"
+  build/boragelatchctl explain "$@" 2>&1
+  echo "[exit $?]"
+}
+
+session () {
+  run 100.67.0.31:1051 test/logs/server-gone/*.log
+  run 100.67.0.31:1051-198.18.0.2:8443 test/logs/clock-ahead/*.log
+  run 100.65.0.9:1032 test/logs/denied/*.log
+  run 100.65.0.19:1050 test/logs/all-refused/*.log
+  run 100.67.0.31:1051 test/logs/server-gone/frontend-bkk-d-1.log
+  run 100.67.0.31:105 test/logs/server-gone/*.log
+  run 100.67.0.31:1051-198.18.0.2:80 test/logs/server-gone/*.log
+  run 100.67.0.31 test/logs/server-gone/*.log
+  run 100.67.0.31:1051 test/logs/none.log
+  run 100.67.0.31:1051 README.md
+  run 100.67.0.31:1051
+}
+
+session >"$out/session"
+[ -n "$UPDATE" ] && cp "$out/session" $golden
+diff -u $golden "$out/session"
