--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,7 @@
 
 programs: $(B)/boragelatchd $(B)/boragelatchctl $(B)/standin-platform \
           $(B)/standin-backend $(B)/standin-fabric $(B)/standin-store \
-          $(B)/standin-server $(B)/standin-callers
+          $(B)/standin-server $(B)/standin-callers $(B)/standin-wire
 
 # What runs on the users' machines.
 programs-deployed: $(B)/boragelatchd $(B)/boragelatchctl
@@ -58,6 +58,9 @@
 $(B)/standin-store: $(B)/standin/store.o
 	@$(CC) $(CFLAGS) $^ -o $@ -lcivetweb -lpopt -ljansson -lpthread
 
+$(B)/standin-wire: $(B)/standin/wire.o $(IO) $(B)/libboragelatch.a
+	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS) $(IO_LIBS) -lpopt
+
 $(B)/standin-server $(B)/standin-callers: $(B)/standin-%: $(B)/standin/%.o \
     $(B)/standin/segment.o $(IO) $(B)/libboragelatch.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS) $(IO_LIBS) -lpopt
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -507,7 +507,7 @@
     .data_port = (uint16_t)s->link_port,
     .control_port = (uint16_t)s->control_port,
     .admin_port = s->http.port,
-    .incarnation = io_wall_ms (),
+    .incarnation = io_wall_ms () + s->clock_offset_ms,
     .seq = 1,
   };
   settings.self = d->self;
@@ -530,11 +530,11 @@
   if (daemon_open_udp (d->loop, &d->packets.source, s->packets.ip,
                        s->packets.port, on_packets)
           != 0
-      || daemon_open_udp (d->loop, &d->links.source, s->ip, s->link_port,
+      || daemon_open_udp (d->loop, &d->links.source, s->listen_ip, s->link_port,
                           on_links)
              != 0
-      || daemon_open_udp (d->loop, &d->control.source, s->ip, s->control_port,
-                          on_control)
+      || daemon_open_udp (d->loop, &d->control.source, s->listen_ip,
+                          s->control_port, on_control)
              != 0)
     return -1;
   d->admin = admin_start (s->http, s->metrics_port, &admin_ops, d);
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -415,7 +415,7 @@
       .data_port = s->packets.port,
       .control_port = (uint16_t)s->control_port,
       .admin_port = s->http.port,
-      .incarnation = io_wall_ms (),
+      .incarnation = io_wall_ms () + s->clock_offset_ms,
     },
     .heartbeat_ms = s->heartbeat_ms,
     .seed_count = s->seed_count,
@@ -468,8 +468,8 @@
       || daemon_open_udp (p->loop, &p->outgoing.source, s->outgoing.ip,
                           s->outgoing.port, on_outgoing)
              != 0
-      || daemon_open_udp (p->loop, &p->control.source, s->ip, s->control_port,
-                          on_control)
+      || daemon_open_udp (p->loop, &p->control.source, s->listen_ip,
+                          s->control_port, on_control)
              != 0)
     return -1;
   return open_http (p);
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -14,12 +14,13 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define SLOTS_MAX        65535
-#define FLOWS_MAX        1000000
-#define GRACE_MAX_S      86400
-#define ENV_NAME_MAX     64
-#define HEARTBEAT_MAX_MS 60000
-#define LINES_MAX_S      100000
+#define SLOTS_MAX           65535
+#define FLOWS_MAX           1000000
+#define GRACE_MAX_S         86400
+#define ENV_NAME_MAX        64
+#define HEARTBEAT_MAX_MS    60000
+#define LINES_MAX_S         100000
+#define CLOCK_OFFSET_MAX_MS 3600000
 /* Roles that end flows at callers' side, and those that only hand packets on
    to backend servers that end flows themselves.  */
 #define IP_ROLES       (ROLE_BALANCER | ROLE_AGENT)
@@ -88,6 +89,12 @@
     "UDP address for packets that the backend server sends" },
   { "http", DATAGRAM_ROLES, true, "", read_addr, AT (http), 0,
     "HTTP address for readiness and metrics" },
+  { "listen-ip", DATAGRAM_ROLES, false, "", read_ip, AT (listen_ip), 0,
+    "address that control and link port are bound to, where --ip is that of a "
+    "relay before this instance; default: --ip" },
+  { "clock-offset-ms", DATAGRAM_ROLES, false, "0", read_number,
+    AT (clock_offset_ms), CLOCK_OFFSET_MAX_MS,
+    "added to the time of day at the start, to test with clocks that differ" },
   { "metrics-port", DATAGRAM_ROLES, false, "0", read_number, AT (metrics_port),
     65535, "a second HTTP port, where metrics are collected; 0: none" },
   { "heartbeats", ROLE_PASSTHROUGH, true, "", read_addr, AT (heartbeats), 0,
@@ -395,6 +402,8 @@
     {
       fill_missing (i);
       check_option (s, i, findings);
+      if (s->listen_ip == 0)
+        s->listen_ip = s->ip;
     }
   return findings->count > 0 ? BL_EFORMAT : BL_OK;
 }
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -36,10 +36,12 @@
   struct bl_addr packets;  /* datagram: from callers, or from balancers */
   struct bl_addr outgoing; /* datagram: from the backend server */
   struct bl_addr http;     /* datagram: readiness, metrics */
-  unsigned long metrics_port; /* datagram: a second one for HTTP; 0: none */
-  struct bl_addr heartbeats;  /* datagram: HTTP for the backend server */
-  struct bl_addr store;       /* datagram: the platform's object store */
-  unsigned long link_port;    /* datagram: UDP, messages about flows */
+  uint32_t listen_ip;      /* datagram: of control and link port */
+  unsigned long clock_offset_ms; /* datagram */
+  unsigned long metrics_port;    /* datagram: a second one for HTTP; 0: none */
+  struct bl_addr heartbeats;     /* datagram: HTTP for the backend server */
+  struct bl_addr store;          /* datagram: the platform's object store */
+  unsigned long link_port;       /* datagram: UDP, messages about flows */
   unsigned long heartbeat_ms;
   unsigned long log_lines_s;
   unsigned long slots;
--- a/examples/datagram.sh
+++ b/examples/datagram.sh
@@ -2,9 +2,24 @@
 # flows themselves, with the stand-ins of the users' platform; to be sourced
 # after deploy.sh
 
+# With OUTER set to another network, instances know each other by their addresses
+# there, and standin-wire stands between them.
 PACKETS=7100 LINK=7110 HTTP=8410 BEATS=8420 OUTGOING=7120 APP=9100
 ROUTE=198.18.0.1:443
 STORE_IP=$NET.4
+OUTER=${OUTER:-$NET}
+
+# outer IP: the address by which others know it
+outer () { echo "$OUTER.${1##*.}"; }
+
+start_wire () {
+  start wire "$BIN/standin-wire" --inner "$NET" --outer "$OUTER" \
+    --hosts "${HOSTS:-40}" --udp $PACKETS,$LINK,$CONTROL \
+    --tcp $HTTP,$BEATS,8600 --control "$NET.3:7000" --seed "${SEED:-1}"
+}
+
+# wire COMMAND...: a fault of the network
+wire () { echo -n "$*" >"/dev/udp/$NET.3/7000"; }
 
 store_fault () { curl -sf -X POST --data "$1" "http://$STORE_IP:8600/fault" >/dev/null; }
 
@@ -37,20 +52,24 @@
 start_dispatcher () {
   new_instance "$1"
   start "$1" "$BIN/boragelatchd" --role=balancer --transport=datagram \
-    --id="$1" --dc="$2" --ip="${IP_OF[$1]}" --seeds="$SEEDS" \
+    --id="$1" --dc="$2" --ip="$(outer "${IP_OF[$1]}")" \
+    --listen-ip="${IP_OF[$1]}" --seeds="$SEEDS" \
     --packets="${IP_OF[$1]}:$PACKETS" --http="${IP_OF[$1]}:$HTTP" \
-    --control-port=$CONTROL --link-port=$LINK --store="$STORE_IP:8600"
+    --control-port=$CONTROL --link-port=$LINK --store="$OUTER.4:8600" \
+    --clock-offset-ms="${CLOCK:-0}"
 }
 
 # start_passthrough ID DC SERVICE: an agent
 start_passthrough () {
   new_instance "$1"
   start "$1-agent" "$BIN/boragelatchd" --role=agent --transport=datagram \
-    --id="$1" --dc="$2" --ip="${IP_OF[$1]}" --seeds="$SEEDS" \
+    --id="$1" --dc="$2" --ip="$(outer "${IP_OF[$1]}")" \
+    --listen-ip="${IP_OF[$1]}" --seeds="$SEEDS" \
     --packets="${IP_OF[$1]}:$PACKETS" --outgoing="${IP_OF[$1]}:$OUTGOING" \
     --http="${IP_OF[$1]}:$HTTP" --heartbeats="${IP_OF[$1]}:$BEATS" \
-    --control-port=$CONTROL --store="$STORE_IP:8600" --service="$3" \
-    --backend="${IP_OF[$1]}:$APP" --heartbeat-ms=500
+    --control-port=$CONTROL --store="$OUTER.4:8600" --service="$3" \
+    --backend="${IP_OF[$1]}:$APP" --heartbeat-ms=500 \
+    --clock-offset-ms="${CLOCK:-0}"
 }
 
 # start_server ID DC SERVICE: a backend server
@@ -58,7 +77,7 @@
   new_instance "$1"
   start "$1-server" "$BIN/standin-server" --name "$1" --service "$3" \
     --zone "$2" --app "${IP_OF[$1]}:$APP" --outbound "${IP_OF[$1]}:$OUTGOING" \
-    --heartbeats "${IP_OF[$1]}:$BEATS" --slots "${SLOTS:-4}" --work-ms 5
+    --heartbeats "$(outer "${IP_OF[$1]}"):$BEATS" --slots "${SLOTS:-4}" --work-ms 5
 }
 
 dispatcher_ready () { curl -sf "http://${IP_OF[$1]}:$HTTP/v1/readiness"; }
@@ -77,7 +96,8 @@
 deploy_datagram () {
   local i
   for i in 1 2 3; do new_instance b$i; done
-  SEEDS="${IP_OF[b1]}:1,${IP_OF[b2]}:1"
+  SEEDS="$(outer "${IP_OF[b1]}"):1,$(outer "${IP_OF[b2]}"):1"
+  [ "$OUTER" = "$NET" ] || start_wire
   start_store && put_routes 1 web || return 1
   for i in 1 2 3; do start_dispatcher b$i dc$i; done
   for i in 1 2 3 4; do
--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -5,8 +5,10 @@
 #
 # Runs the datagram deployment with two groups of callers and brings about a
 # series of overlapping faults from outside: processes killed, stopped, paused
-# and started again, the store away, losing answers or its history, new routes,
-# and backend servers draining and joining.  Checks while it runs and at its
+# and started again, the same several times in a row, with clocks that differ;
+# the store away, losing answers or its history; new routes; backend servers
+# draining and joining; and, by standin-wire between all instances, datagrams
+# delayed, lost and cut one way, streams held up, reset and silenced.  Checks while it runs and at its
 # end that
 # - no answer was wrong and no packet was changed on the way,
 # - no server of another service ran a request,
@@ -19,7 +21,8 @@
 SEED=${1:?soak.sh SEED [STEPS]}
 STEPS=${2:-12}
 RANDOM=$SEED
-NET=127.$((1 + SEED % 250)).$((1 + $$ % 250))
+NET=127.$((1 + SEED % 120)).$((1 + $$ % 250))
+OUTER=127.$((121 + SEED % 120)).$((1 + $$ % 250))
 . examples/deploy.sh
 . examples/datagram.sh
 keep=0
@@ -46,12 +49,37 @@
 crash_server () { kill -KILL "${PID_OF[$1-server]}"; sleep 0.$((RANDOM % 9)); start_server "$1" dc1 web; }
 drain_server () { stop "$1-server"; start_server "$1" dc1 web; }
 
+host () { echo "${IP_OF[$1]##*.}"; }
+
+# network_fault A B: between two instances, for a while
+network_fault () {
+  local from to
+  from=$(host "$1") to=$(host "$2")
+  pick "delay $from $to 300" "delay * $to 120" "lose $from * 200" \
+    "cut $from $to" "cut * $to" "cut $from *"
+  echo "$PICK"
+  wire "$PICK"
+  (sleep $((1 + RANDOM % 3)); wire mend) &
+}
+
+# Signals in quick succession to one agent.
+harass () {
+  kill -STOP "${PID_OF[$1-agent]}"
+  sleep 0.2
+  kill -CONT "${PID_OF[$1-agent]}"
+  kill -HUP "${PID_OF[$1-agent]}"
+  kill_agent "$1"
+  stop_agent "$1"
+}
+
 # One fault; those marked & overlap with what follows.
 step () {
   local b w
   pick b1 b2 b3; b=$PICK
   pick "${SERVERS[@]}"; w=$PICK
-  case $((RANDOM % 13)) in
+  # Of whichever process is started next.
+  CLOCK=$((RANDOM % 4 * 2500))
+  case $((RANDOM % 20)) in
     0) echo "kill $b"; kill -KILL "${PID_OF[$b]}"; sleep 0.5; restart_balancer $b ;;
     1) echo "stop $b"; stop $b; restart_balancer $b ;;
     2) echo "pause $b"; pause $b 1 & ;;
@@ -69,6 +97,11 @@
       echo "routes $VERSION"
       put_routes $VERSION web
       ;;
+    13 | 14 | 15) network_fault "$b" "$w" ;;
+    16) network_fault "$w" "$b" ;;
+    17) echo "streams reset"; wire reset ;;
+    18) echo "streams silent"; wire silence ;;
+    19) echo "harass $w"; harass $w ;;
   esac
 }
 
@@ -79,13 +112,27 @@
     fail "a request ran twice"
 }
 
-# Output of a process that is started again is kept.
+# Output of a process that is started again is kept.  A signal that reaches the
+# shell's child before it has become the program is lost (4 of 300), so that is
+# waited for.
 start () {
   local name=$1
   shift
   "$@" >>"$RUN/$name.out" 2>>"$RUN/$name.log" &
   PID_OF[$name]=$!
   PIDS+=($!)
+  while [ "$(readlink /proc/$!/exe)" = "$(readlink /proc/$$/exe)" ]; do :; done
+}
+
+# A process that is told to stop is gone within its grace time.
+stop () {
+  local tries=150 pid=${PID_OF[$1]}
+  kill -TERM "$pid" 2>/dev/null
+  while kill -0 "$pid" 2>/dev/null; do
+    tries=$((tries - 1))
+    [ $tries -gt 0 ] || fail "$1 does not stop"
+    sleep 0.1
+  done
 }
 
 deploy_datagram || fail "deploy"
@@ -97,6 +144,7 @@
 done
 sleep 3
 store_fault mode=up
+wire mend
 put_routes $((VERSION + 1)) web
 for b in b1 b2 b3; do wait_for 15 dispatcher_ready $b || fail "$b is not ready"; done
 wait_for 15 agents_known 6 || fail "not all agents are known"
