Hold denials only against the flow that agents were asked about

A packet that came while they were asked was added to what waits, whatever flow of the port it belonged to, and the denials of the former flow then reset the present one. Ruled out: budget-suppressed lines (none), a paused or dark owner (all agents answered), a restart of a server or agent (no such line). Change: a packet whose acknowledgement number is far from the one asked about begins the inquiry anew, and answers to earlier questions do not count. An agent that knows the flow but not the number logs not_owned. The stand-in caller takes a reset of an open flow only if its number is near, as callers do.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 STACK   = $(B)/io/stack.o
 DAEMON  = $(patsubst %.c,$(B)/%.o,$(wildcard daemon/*.c))
 PLATFORM = $(patsubst %.c,$(B)/%.o,$(wildcard platform/*.c))
-EMULATOR = $(patsubst %.c,$(B)/%.o,$(wildcard emulator/*.c))
+EMULATOR = $(patsubst %.c,$(B)/%.o,$(filter-out emulator/main.c,$(wildcard emulator/*.c)))
 CTL     = $(patsubst %.c,$(B)/%.o,$(wildcard ctl/*.c))
 TESTS   = $(patsubst test/%.c,$(B)/%,$(wildcard test/test_*.c))
 BENCHES = $(patsubst bench/%.c,$(B)/%,$(wildcard bench/bench_*.c))
@@ -28,7 +28,8 @@
 
 programs: $(B)/boragelatchd $(B)/boragelatchctl $(B)/standin-platform \
           $(B)/standin-backend $(B)/standin-fabric $(B)/standin-store \
-          $(B)/standin-server $(B)/standin-callers $(B)/standin-wire
+          $(B)/standin-server $(B)/standin-callers $(B)/standin-wire \
+          $(B)/boragelatch-emulate
 
 # What runs on the users' machines.
 programs-deployed: $(B)/boragelatchd $(B)/boragelatchctl
@@ -46,6 +47,9 @@
 $(B)/boragelatchctl: $(CTL) $(IO) $(B)/libboragelatch.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS) $(IO_LIBS) -lpopt
 
+$(B)/boragelatch-emulate: $(B)/emulator/main.o $(EMULATOR) $(IO) $(B)/libboragelatch.a
+	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS) $(IO_LIBS) -lpopt
+
 $(B)/standin-platform: $(B)/standin/platform.o
 	@$(CC) $(CFLAGS) $^ -o $@ -lcivetweb -lpopt -lpthread
 
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -343,7 +343,7 @@
   else if (f->phase == BL_PHASE_OPENING)
     pass_on_opening (d, f, &b);
   else
-    bl_passing_hold (f, &b);
+    bl_inquiry_packet (d, f, &b);
 }
 
 /* -- messages -- */
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -13,12 +13,19 @@
 
 struct bl_dispatch;
 
+/* How backend servers are chosen for new flows.  */
+struct bl_choice;
+/* The policy NAME: near_and_light, which is the usual one; of_two and hash, to
+   compare with.  NULL for others.  */
+const struct bl_choice *bl_choice_find (struct bl_str name);
+
 struct bl_dispatch_settings
 {
   struct bl_record self; /* kind, id, data centre, addresses, incarnation */
   uint64_t random_seed;
   size_t seed_count;
   struct bl_addr seeds[BL_SEEDS_MAX]; /* control addresses of balancers */
+  const struct bl_choice *choice;     /* NULL: the usual one */
 };
 
 /* One decision, for the log.  */
--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -54,6 +54,7 @@
 
 struct bl_inquiry
 {
+  uint32_t ack; /* acknowledgement number that agents were asked about */
   uint64_t started_ms;
   uint64_t probed_ms; /* when the packet was last offered to unsure ones */
   size_t count;
@@ -127,6 +128,17 @@
   size_t len;
 };
 
+struct bl_choice
+{
+  /* Whom F is offered to next, or NULL.  */
+  struct bl_target *(*choose) (struct bl_dispatch *d,
+                               const struct bl_passing *f);
+  const char *name;
+};
+
+/* dispatch_choose.c */
+const struct bl_choice *bl_dispatch_choice (const struct bl_dispatch *d);
+
 /* dispatch.c */
 /* A new flow, or NULL when there is no room.  */
 struct bl_passing *bl_passing_add (struct bl_dispatch *d,
@@ -189,6 +201,10 @@
 void bl_inquiry_start (struct bl_dispatch *d,
                        struct bl_passing *f,
                        const struct bl_bytes *b);
+/* A further packet, while agents are being asked.  */
+void bl_inquiry_packet (struct bl_dispatch *d,
+                        struct bl_passing *f,
+                        const struct bl_bytes *b);
 void bl_inquiry_answer (struct bl_dispatch *d,
                         struct bl_passing *f,
                         struct bl_target *from,
--- a/core/dispatch_inquiry.c
+++ b/core/dispatch_inquiry.c
@@ -12,7 +12,9 @@
    When everybody has denied, the backend server is gone and the caller is
    reset, but only if the packet carries data: one without may belong to a
    flow that both ends have closed; and only if this balancer knows all agents,
-   which takes a moment after its start and is checked with a few others.  An
+   which takes a moment after its start and is checked with a few others.
+   Agents answer for one acknowledgement number: a packet whose own is far from
+   it is of another flow of the same port, and begins the inquiry anew.  An
    agent that stopped in order to start again is waited for.  Silence of any
    agent that is not dark keeps the answer open, and the packet is dropped.  */
 
@@ -23,6 +25,7 @@
 #define INQUIRY_MS 180 /* callers send again after 200 ms */
 #define PROBE_FAN  6   /* agents that have the packet at the same time */
 #define PROBE_MS   50  /* until a backend server would have returned it */
+#define ACK_WINDOW (1u << 20) /* sequence numbers of one flow lie within it */
 
 static bool
 serves_route (const struct bl_table_route *route, uint64_t service)
@@ -65,7 +68,7 @@
     .type = BL_LINK_QUERY,
     .service = t->service,
     .key = f->key,
-    .ack = f->last_ack,
+    .ack = f->inquiry.ack,
   };
 
   if (was_asked (&f->inquiry, t) || !note_asked (&f->inquiry, t))
@@ -103,7 +106,8 @@
   bl_passing_release (f);
   bl_passing_hold (f, b);
   free (f->inquiry.asked);
-  f->inquiry = (struct bl_inquiry){ .started_ms = d->now };
+  f->inquiry
+      = (struct bl_inquiry){ .started_ms = d->now, .ack = b->packet->ack };
   f->phase = BL_PHASE_SEARCHING;
   f->owner = NULL;
   f->since_ms = d->now;
@@ -112,6 +116,19 @@
   ask_some (d, f, false);
 }
 
+void
+bl_inquiry_packet (struct bl_dispatch *d,
+                   struct bl_passing *f,
+                   const struct bl_bytes *b)
+{
+  uint32_t apart = b->packet->ack - f->inquiry.ack + ACK_WINDOW / 2;
+
+  if (apart < ACK_WINDOW)
+    bl_passing_hold (f, b);
+  else
+    bl_inquiry_start (d, f, b);
+}
+
 /* An agent that is waited for, for the log.  */
 static const struct bl_target *
 first_silent (const struct bl_dispatch *d, const struct bl_inquiry *q)
@@ -236,7 +253,7 @@
              asked == NULL || asked->reply != BL_REPLY_PROBED);
       return;
     }
-  if (asked == NULL)
+  if (asked == NULL || link->ack != q->ack)
     return;
   if (asked->reply == BL_REPLY_NONE)
     asked->reply
--- a/core/pass.c
+++ b/core/pass.c
@@ -424,6 +424,10 @@
     }
   else
     link.type = is_unsure (p) ? BL_LINK_UNSURE : BL_LINK_DENIED;
+  if (f != NULL && link.type != BL_LINK_OWNED)
+    p->ops.decided (p->ctx, "not_owned",
+                    f->next_known ? "other_numbers" : "not_accepted_yet",
+                    &query->key, p->now - f->touched_ms);
   reply (p, from, &link, NULL, 0);
 }
 
--- a/emulator/emulator.c
+++ b/emulator/emulator.c
@@ -334,7 +334,8 @@
 {
   struct em_balancer *b = &em->balancers[index];
   struct bl_dispatch_settings settings
-      = { .random_seed = bl_random_next (&em->random) };
+      = { .random_seed = bl_random_next (&em->random),
+          .choice = em->settings.choice };
 
   b->process.alive = true;
   b->process.generation++;
@@ -845,6 +846,12 @@
   return em->servers[server].runs;
 }
 
+unsigned
+em_server_service (const struct em *em, size_t server)
+{
+  return em->servers[server].service;
+}
+
 uint64_t
 em_server_opened (const struct em *em, size_t server)
 {
--- a/emulator/emulator.h
+++ b/emulator/emulator.h
@@ -47,6 +47,7 @@
 struct em_settings
 {
   uint64_t seed;
+  const struct bl_choice *choice; /* of balancers; NULL: the usual one */
   unsigned dcs;
   unsigned balancers[EM_DCS_MAX];
   size_t service_count;
@@ -68,6 +69,18 @@
   uint64_t refused; /* reset or turned away, no try left */
 };
 
+/* Times from a request until its answer, in steps of a sixteenth of an octave
+   of milliseconds.  */
+#define EM_TIMES 256
+
+struct em_times
+{
+  uint64_t counts[EM_TIMES];
+};
+
+/* The time that a share P of all were within; 0 when there are none.  */
+double em_percentile (const struct em_times *times, double p);
+
 struct em_totals
 {
   struct em_outcome classes[EM_CLASSES_MAX];
@@ -78,8 +91,11 @@
   uint64_t after_drain;   /* first packets taken by a server told to drain */
   uint64_t far_packets;   /* of callers, between data centres */
   uint64_t near_packets;
-  uint64_t shed;  /* requests that servers turned away, queue full */
-  uint64_t stray; /* packets at backend servers that hold no such flow */
+  uint64_t shed;         /* requests that servers turned away, queue full */
+  uint64_t stray;        /* packets at backend servers that hold no such flow */
+  uint64_t wasted;       /* requests that ran though their callers had left */
+  uint64_t refused_free; /* flows refused while a server had a slot free */
+  struct em_times times[EM_CLASSES_MAX];
 };
 
 struct em;
@@ -100,6 +116,8 @@
 /* Requests that have begun to run at a backend server.  */
 uint64_t em_server_runs (const struct em *em, size_t server);
 uint64_t em_server_opened (const struct em *em, size_t server);
+/* Index of the service that it serves.  */
+unsigned em_server_service (const struct em *em, size_t server);
 
 /* Faults and planned work, at the present time.  A balancer or agent that is
    killed starts anew after DOWN_MS, knowing nothing.  */
--- a/emulator/emulator_callers.c
+++ b/emulator/emulator_callers.c
@@ -2,12 +2,14 @@
 
 #include "emulator/emulator_inner.h"
 
+#include <math.h>
 #include <stdlib.h>
 
-#define GIVE_UP_US   1400000 /* a first packet without an answer */
-#define AGAIN_US     200000  /* until a request is sent again; doubles */
-#define AGAIN_MAX_US 1600000
-#define PORT_FIRST   1024
+#define GIVE_UP_US      1400000 /* a first packet without an answer */
+#define AGAIN_US        200000  /* until a request is sent again; doubles */
+#define AGAIN_MAX_US    1600000
+#define PORT_FIRST      1024
+#define STEPS_AN_OCTAVE 16 /* of recorded times */
 
 static void next_request (struct em *em, size_t index);
 
@@ -73,6 +75,30 @@
   return second < EM_BUCKETS_MAX ? &em->totals.seconds[second] : NULL;
 }
 
+static size_t
+time_index (double ms)
+{
+  double step = ms <= 1 ? 0 : log2 (ms) * STEPS_AN_OCTAVE;
+  return step < EM_TIMES - 1 ? (size_t)step : EM_TIMES - 1;
+}
+
+double
+em_percentile (const struct em_times *times, double p)
+{
+  uint64_t all = 0;
+  uint64_t within = 0;
+
+  for (size_t i = 0; i < EM_TIMES; i++)
+    all += times->counts[i];
+  for (size_t i = 0; i < EM_TIMES && all > 0; i++)
+    {
+      within += times->counts[i];
+      if ((double)within >= p * (double)all)
+        return exp2 ((double)(i + 1) / STEPS_AN_OCTAVE);
+    }
+  return 0;
+}
+
 enum result
 {
   IN_TIME,
@@ -98,6 +124,9 @@
       all[i]->failed += result == FAILED;
       all[i]->refused += result == REFUSED;
     }
+  if (result == IN_TIME || result == LATE)
+    em->totals.times[u->class]
+        .counts[time_index ((double)(em->now_us - u->asked_us) / 1000)]++;
   rest (em, index);
 }
 
@@ -248,7 +277,10 @@
   uint64_t took_ms = (em->now_us - u->asked_us) / 1000;
 
   if (u->state != EM_WAITING || p->ack != u->seq + 1)
-    return;
+    {
+      em->totals.wasted += u->state != EM_WAITING;
+      return;
+    }
   u->seq++;
   if (p->flags & BL_TCP_FIN)
     {
@@ -265,11 +297,29 @@
   conclude (em, index, took_ms <= c->aim_ms ? IN_TIME : LATE);
 }
 
+/* A server of the class's service has a slot free.  */
+static bool
+has_free_slot (const struct em *em, const struct em_class *c)
+{
+  const struct em_service *service = &em->settings.services[c->service];
+
+  for (size_t i = 0; i < em->server_count; i++)
+    {
+      const struct em_server *s = &em->servers[i];
+      if (s->alive && s->agent.alive && !s->draining && s->service == c->service
+          && s->running < service->slots)
+        return true;
+    }
+  return false;
+}
+
 static void
 on_reset (struct em *em, size_t index, const struct bl_packet *p)
 {
   struct em_user *u = &em->users[index];
 
+  if (u->state == EM_OPENING && has_free_slot (em, class_of (em, u)))
+    em->totals.refused_free++;
   if (u->flow_open && em_server_holds (em, &p->key))
     em->totals.broken++;
   u->flow_open = false;
@@ -286,7 +336,10 @@
 
   /* A packet of a flow that the caller has left.  */
   if (p->key.src_port != u->port)
-    return;
+    {
+      em->totals.wasted += p->payload_len > 0;
+      return;
+    }
   if (p->flags & BL_TCP_RST)
     on_reset (em, e->index, p);
   else if (p->flags & BL_TCP_SYN)
--- /dev/null
+++ b/emulator/experiment.c
@@ -0,0 +1,469 @@
+/* experiment.c -- a deployment and a load pattern, read from a file
+
+   The file is JSON: "data_centres", "services", "classes", the network, and
+   "steps", each of a kind of the table below at a time.  All faults of a file
+   are found in one reading.  Runs of the same seed differ in the policy
+   alone.  */
+
+#include "emulator/experiment.h"
+
+#include <jansson.h>
+#include <stdlib.h>
+#include <string.h>
+
+#define USERS_MAX   4000
+#define SERVERS_MAX 64
+#define MS_MAX      120000
+
+/* -- steps -- */
+
+static size_t
+share_of (double x, size_t all)
+{
+  size_t n = (size_t)(x * (double)all + 0.999);
+  return n < all ? n : all;
+}
+
+static void
+step_press (struct em *em, const struct experiment_step *step)
+{
+  em_press (em, step->x);
+}
+
+static void
+step_power_off (struct em *em, const struct experiment_step *step)
+{
+  em_power_off (em, step->for_ms);
+}
+
+static void
+step_kill_balancers (struct em *em, const struct experiment_step *step)
+{
+  size_t n = share_of (step->x, em_balancer_count (em));
+
+  for (size_t i = 0; i < n; i++)
+    em_kill_balancer (em, i, step->for_ms);
+}
+
+static void
+step_kill_agents (struct em *em, const struct experiment_step *step)
+{
+  size_t n = share_of (step->x, em_server_count (em));
+
+  for (size_t i = 0; i < n; i++)
+    em_kill_agent (em, i, step->for_ms);
+}
+
+static void
+step_crash_servers (struct em *em, const struct experiment_step *step)
+{
+  size_t n = share_of (step->x, em_server_count (em));
+
+  for (size_t i = 0; i < n; i++)
+    em_crash_server (em, i, step->for_ms);
+}
+
+static void
+step_cut_servers (struct em *em, const struct experiment_step *step)
+{
+  size_t n = share_of (step->x, em_server_count (em));
+
+  for (size_t i = 0; i < n; i++)
+    em_cut_server (em, i, step->for_ms);
+}
+
+/* The first third of the servers work X times as long.  */
+static void
+step_slow_servers (struct em *em, const struct experiment_step *step)
+{
+  size_t n = share_of (1.0 / 3, em_server_count (em));
+
+  for (size_t i = 0; i < n; i++)
+    em_slow_server (em, i, step->x);
+}
+
+static void
+step_store (struct em *em, const struct experiment_step *step)
+{
+  em_store (em, step->x > 0);
+}
+
+static const struct
+{
+  const char *name;
+  void (*run) (struct em *em, const struct experiment_step *step);
+  double x_max; /* of "x"; 0: none is read */
+  bool timed;   /* "for_ms" is read */
+} kinds[] = {
+  { "press", step_press, 20, false },
+  { "power_off", step_power_off, 0, true },
+  { "kill_balancers", step_kill_balancers, 1, true },
+  { "kill_agents", step_kill_agents, 1, true },
+  { "crash_servers", step_crash_servers, 1, true },
+  { "cut_servers", step_cut_servers, 1, true },
+  { "slow_servers", step_slow_servers, 100, false },
+  { "store", step_store, 1, false },
+};
+
+/* -- reading -- */
+
+struct reader
+{
+  struct bl_findings *findings;
+  char place[BL_FINDING_PLACE_MAX];
+};
+
+static double
+read_real (struct reader *r,
+           const json_t *json,
+           const char *field,
+           double least,
+           double most)
+{
+  const json_t *value = json_object_get (json, field);
+  double x = json_number_value (value);
+
+  if (!json_is_number (value) || x < least || x > most)
+    bl_findings_add (r->findings, r->place,
+                     "\"%s\" must be a number from %g to %g", field, least,
+                     most);
+  return x;
+}
+
+static unsigned
+read_count (struct reader *r,
+            const json_t *json,
+            const char *field,
+            unsigned least,
+            unsigned most)
+{
+  const json_t *value = json_object_get (json, field);
+  json_int_t n = json_integer_value (value);
+
+  if (json_is_integer (value) && n >= least && n <= most)
+    return (unsigned)n;
+  bl_findings_add (r->findings, r->place,
+                   "\"%s\" must be a whole number from %u to %u", field, least,
+                   most);
+  return least;
+}
+
+/* Names are kept one after the other.  */
+static const char *
+read_name (struct reader *r, struct experiment *e, const json_t *json)
+{
+  const char *text = json_string_value (json_object_get (json, "name"));
+  size_t used = 0;
+
+  while (e->names[used] != '\0')
+    used += strlen (e->names + used) + 1;
+  if (text == NULL || text[0] == '\0' || strlen (text) > 31)
+    {
+      bl_findings_add (r->findings, r->place,
+                       "\"name\" must be a text of 1 to 31 bytes");
+      return "?";
+    }
+  return strcpy (e->names + used, text);
+}
+
+/* The members of LIST, MOST at most; their places are named after it.  */
+static const json_t *
+read_list (struct reader *r, const json_t *root, const char *field, size_t most)
+{
+  const json_t *list = json_object_get (root, field);
+
+  if (json_is_array (list) && json_array_size (list) > 0
+      && json_array_size (list) <= most)
+    return list;
+  bl_findings_add (r->findings, field, "must be a list of 1 to %zu", most);
+  return NULL;
+}
+
+static void
+place_at (struct reader *r, const char *field, size_t i)
+{
+  snprintf (r->place, sizeof r->place, "%s[%zu]", field, i);
+}
+
+static void
+read_data_centres (struct reader *r, struct experiment *e, const json_t *root)
+{
+  const json_t *list = read_list (r, root, "data_centres", EM_DCS_MAX);
+  const json_t *item;
+  size_t i;
+
+  json_array_foreach (list, i, item)
+  {
+    place_at (r, "data_centres", i);
+    e->settings.balancers[i] = read_count (r, item, "balancers", 1, 16);
+    e->settings.dcs = (unsigned)i + 1;
+  }
+}
+
+static void
+read_services (struct reader *r, struct experiment *e, const json_t *root)
+{
+  const json_t *list = read_list (r, root, "services", EM_SERVICES_MAX);
+  const json_t *item;
+  size_t i;
+
+  json_array_foreach (list, i, item)
+  {
+    struct em_service *s = &e->settings.services[i];
+    const json_t *servers = json_object_get (item, "servers");
+    place_at (r, "services", i);
+    s->name = read_name (r, e, item);
+    s->slots = read_count (r, item, "slots", 1, 1000);
+    s->queue = read_count (r, item, "queue", 0, 60);
+    if (json_array_size (servers) != e->settings.dcs)
+      bl_findings_add (r->findings, r->place,
+                       "\"servers\" must list a number for each data centre");
+    for (size_t dc = 0; dc < e->settings.dcs; dc++)
+      {
+        json_int_t n = json_integer_value (json_array_get (servers, dc));
+        if (n < 0 || n > SERVERS_MAX)
+          bl_findings_add (r->findings, r->place,
+                           "\"servers\" must hold numbers from 0 to %d",
+                           SERVERS_MAX);
+        else
+          s->servers[dc] = (unsigned)n;
+      }
+    e->settings.service_count = i + 1;
+  }
+}
+
+static unsigned
+read_service (struct reader *r, const struct experiment *e, const json_t *json)
+{
+  const char *name = json_string_value (json_object_get (json, "service"));
+
+  for (unsigned i = 0; name != NULL && i < e->settings.service_count; i++)
+    if (strcmp (e->settings.services[i].name, name) == 0)
+      return i;
+  bl_findings_add (r->findings, r->place,
+                   "\"service\" must name one of the services");
+  return 0;
+}
+
+static void
+read_classes (struct reader *r, struct experiment *e, const json_t *root)
+{
+  const json_t *list = read_list (r, root, "classes", EM_CLASSES_MAX);
+  const json_t *item;
+  size_t i;
+
+  json_array_foreach (list, i, item)
+  {
+    place_at (r, "classes", i);
+    e->settings.classes[i] = (struct em_class){
+      .name = read_name (r, e, item),
+      .service = read_service (r, e, item),
+      .habit
+      = json_is_true (json_object_get (item, "fresh")) ? EM_FRESH : EM_LONG,
+      .repeatable = json_is_true (json_object_get (item, "repeatable")),
+      .users = read_count (r, item, "users", 1, USERS_MAX),
+      .pause_ms = read_real (r, item, "pause_ms", 1, MS_MAX),
+      .work_ms = read_real (r, item, "work_ms", 0.1, MS_MAX),
+      .aim_ms = read_count (r, item, "aim_ms", 1, MS_MAX),
+      .deadline_ms = read_count (r, item, "deadline_ms", 1, MS_MAX),
+      .retries = read_count (r, item, "retries", 0, 10),
+    };
+    e->settings.class_count = i + 1;
+  }
+}
+
+static void
+read_network (struct reader *r, struct experiment *e, const json_t *root)
+{
+  snprintf (r->place, sizeof r->place, "network");
+  root = json_object_get (root, "network");
+  e->settings.near_ms = read_real (r, root, "near_ms", 0, 1000);
+  e->settings.far_ms = read_real (r, root, "far_ms", 0, 1000);
+  e->settings.caller_ms = read_real (r, root, "caller_ms", 0, 1000);
+  e->settings.loss = read_count (r, root, "lost_of_10000", 0, 10000);
+}
+
+static void
+read_step (struct reader *r, struct experiment *e, const json_t *item)
+{
+  const char *name = json_string_value (json_object_get (item, "what"));
+  struct experiment_step *step = &e->steps[e->step_count];
+
+  for (size_t i = 0; name != NULL && i < sizeof kinds / sizeof kinds[0]; i++)
+    {
+      if (strcmp (kinds[i].name, name) != 0)
+        continue;
+      step->at_ms = read_count (r, item, "at_ms", 0, MS_MAX);
+      step->run = kinds[i].run;
+      if (kinds[i].x_max > 0)
+        step->x = read_real (r, item, "x", 0, kinds[i].x_max);
+      if (kinds[i].timed)
+        step->for_ms = read_count (r, item, "for_ms", 0, MS_MAX);
+      if (e->step_count > 0 && step->at_ms < step[-1].at_ms)
+        bl_findings_add (r->findings, r->place,
+                         "\"at_ms\" is before that of the step before");
+      e->step_count++;
+      return;
+    }
+  bl_findings_add (r->findings, r->place, "\"what\" names no kind of step");
+}
+
+static void
+read_steps (struct reader *r, struct experiment *e, const json_t *root)
+{
+  const json_t *list = json_object_get (root, "steps");
+  const json_t *item;
+  size_t i;
+
+  if (json_array_size (list) > EXPERIMENT_STEPS_MAX)
+    bl_findings_add (r->findings, "steps", "must be %d at most",
+                     EXPERIMENT_STEPS_MAX);
+  json_array_foreach (list, i, item)
+  {
+    place_at (r, "steps", i);
+    if (i < EXPERIMENT_STEPS_MAX)
+      read_step (r, e, item);
+  }
+}
+
+int
+experiment_read (struct experiment *out,
+                 struct bl_str text,
+                 struct bl_findings *findings)
+{
+  struct reader r = { .findings = findings };
+  json_error_t error;
+  json_t *root = json_loadb (text.ptr, text.len, 0, &error);
+  size_t before = findings->count;
+
+  *out = (struct experiment){ .names = calloc (1, 1024) };
+  if (root == NULL || out->names == NULL)
+    {
+      snprintf (r.place, sizeof r.place, "line %d", error.line);
+      bl_findings_add (findings, r.place, "%s", error.text);
+      json_decref (root);
+      return BL_EFORMAT;
+    }
+  read_data_centres (&r, out, root);
+  read_services (&r, out, root);
+  read_classes (&r, out, root);
+  read_network (&r, out, root);
+  read_steps (&r, out, root);
+  snprintf (r.place, sizeof r.place, "file");
+  out->warm_ms = read_count (&r, root, "warm_ms", 0, MS_MAX);
+  out->end_ms = read_count (&r, root, "end_ms", 1, MS_MAX);
+  json_decref (root);
+  return findings->count == before ? BL_OK : BL_EFORMAT;
+}
+
+void
+experiment_clear (struct experiment *experiment)
+{
+  free (experiment->names);
+}
+
+/* -- running -- */
+
+static void
+add_outcome (struct em_outcome *sum, const struct em_outcome *one)
+{
+  sum->asked += one->asked;
+  sum->in_time += one->in_time;
+  sum->late += one->late;
+  sum->failed += one->failed;
+  sum->refused += one->refused;
+}
+
+static void
+add_totals (struct em_totals *sum, const struct em_totals *one)
+{
+  for (size_t i = 0; i < EM_CLASSES_MAX; i++)
+    {
+      add_outcome (&sum->classes[i], &one->classes[i]);
+      for (size_t t = 0; t < EM_TIMES; t++)
+        sum->times[i].counts[t] += one->times[i].counts[t];
+    }
+  for (size_t i = 0; i < EM_BUCKETS_MAX; i++)
+    add_outcome (&sum->seconds[i], &one->seconds[i]);
+  sum->broken += one->broken;
+  sum->twice += one->twice;
+  sum->wrong_service += one->wrong_service;
+  sum->after_drain += one->after_drain;
+  sum->far_packets += one->far_packets;
+  sum->near_packets += one->near_packets;
+  sum->shed += one->shed;
+  sum->stray += one->stray;
+  sum->wasted += one->wasted;
+  sum->refused_free += one->refused_free;
+}
+
+/* Of the service with most servers.  */
+static double
+imbalance_of (const struct em *em, const struct experiment *e)
+{
+  uint64_t most = 0;
+  uint64_t all = 0;
+  size_t count = 0;
+
+  for (size_t i = 0; i < em_server_count (em); i++)
+    {
+      uint64_t runs = em_server_runs (em, i);
+      if (em_server_service (em, i) != 0)
+        continue;
+      most = runs > most ? runs : most;
+      all += runs;
+      count++;
+    }
+  (void)e;
+  return all > 0 ? (double)most * (double)count / (double)all : 0;
+}
+
+static struct em *
+play (const struct experiment *e, const struct bl_choice *choice, uint64_t seed)
+{
+  struct em_settings settings = e->settings;
+  bool warm = false;
+  struct em *em;
+
+  settings.choice = choice;
+  settings.seed = seed;
+  em = em_new (&settings);
+  if (em == NULL)
+    return NULL;
+  for (size_t i = 0; i < e->step_count; i++)
+    {
+      if (!warm && e->steps[i].at_ms >= e->warm_ms)
+        {
+          em_run (em, e->warm_ms);
+          em_reset_totals (em);
+          warm = true;
+        }
+      em_run (em, e->steps[i].at_ms);
+      e->steps[i].run (em, &e->steps[i]);
+    }
+  if (!warm)
+    {
+      em_run (em, e->warm_ms);
+      em_reset_totals (em);
+    }
+  em_run (em, e->end_ms);
+  return em;
+}
+
+void
+experiment_add (const struct experiment *experiment,
+                struct experiment_result *result,
+                const struct bl_choice *choice,
+                uint64_t seed)
+{
+  struct em *em = play (experiment, choice, seed);
+
+  if (em == NULL)
+    return;
+  add_totals (&result->totals, em_totals (em));
+  result->imbalance
+      = (result->imbalance * result->runs + imbalance_of (em, experiment))
+        / (result->runs + 1);
+  result->runs++;
+  em_free (em);
+}
--- /dev/null
+++ b/emulator/main.c
@@ -0,0 +1,157 @@
+/* main.c -- boragelatch-emulate: a load pattern under several policies, side by
+   side over many seeds  */
+
+#include "emulator/experiment.h"
+#include "io/io.h"
+
+#include <popt.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#define POLICIES_MAX   8
+#define FILE_MAX_BYTES (1024 * 1024)
+#define SEEDS_MAX      10000
+
+struct flags
+{
+  char *policies;
+  char *json;
+  char *plots;
+  int seeds;
+  int first_seed;
+};
+
+static bool
+read_file (const char *path, struct bl_str *out)
+{
+  FILE *in = fopen (path, "r");
+  char *text = malloc (FILE_MAX_BYTES);
+  size_t len;
+
+  if (in == NULL || text == NULL)
+    {
+      perror (path);
+      free (text);
+      return false;
+    }
+  len = fread (text, 1, FILE_MAX_BYTES, in);
+  fclose (in);
+  *out = (struct bl_str){ text, len };
+  return true;
+}
+
+/* Policies by name, comma-separated; returns how many, 0 when one is none.  */
+static size_t
+read_policies (const char *text,
+               const struct bl_choice **out,
+               struct experiment_result *results)
+{
+  static char names[256];
+  char *save = NULL;
+  size_t n = 0;
+
+  snprintf (names, sizeof names, "%s", text);
+  for (char *name = strtok_r (names, ",", &save);
+       name != NULL && n < POLICIES_MAX; name = strtok_r (NULL, ",", &save))
+    {
+      out[n] = bl_choice_find (bl_str_of (name));
+      if (out[n] == NULL)
+        {
+          fprintf (stderr, "--policies: \"%s\" is not a policy\n", name);
+          return 0;
+        }
+      results[n++].policy = name;
+    }
+  return n;
+}
+
+static void
+show_progress (int done, int all)
+{
+  if (!isatty (STDERR_FILENO))
+    return;
+  fprintf (stderr, "\r%d of %d runs", done, all);
+  if (done == all)
+    fputc ('\n', stderr);
+}
+
+static int
+run (const struct experiment *experiment, const struct flags *flags)
+{
+  static struct experiment_result results[POLICIES_MAX];
+  const struct bl_choice *choices[POLICIES_MAX];
+  size_t count = read_policies (flags->policies, choices, results);
+  int all = flags->seeds * (int)count;
+  int done = 0;
+
+  if (count == 0)
+    return 1;
+  for (int s = 0; s < flags->seeds; s++)
+    for (size_t i = 0; i < count; i++)
+      {
+        experiment_add (experiment, &results[i], choices[i],
+                        (uint64_t)(flags->first_seed + s));
+        show_progress (++done, all);
+      }
+  experiment_print (experiment, results, count);
+  if (flags->json != NULL
+      && experiment_save (experiment, results, count, flags->json) != 0)
+    {
+      perror (flags->json);
+      return 1;
+    }
+  if (flags->plots != NULL
+      && experiment_plot (experiment, results, count, flags->plots) != 0)
+    {
+      perror (flags->plots);
+      return 1;
+    }
+  return 0;
+}
+
+int
+main (int argc, const char **argv)
+{
+  static struct bl_findings findings;
+  struct flags flags = { .policies = "near_and_light,of_two,hash",
+                         .seeds = 3,
+                         .first_seed = 1 };
+  const struct poptOption table[] = {
+    { "policies", 0, POPT_ARG_STRING, &flags.policies, 0,
+      "near_and_light, of_two, hash, comma-separated", "NAME,..." },
+    { "seeds", 0, POPT_ARG_INT, &flags.seeds, 0, "runs of each policy", "N" },
+    { "first-seed", 0, POPT_ARG_INT, &flags.first_seed, 0, "of these", "N" },
+    { "json", 0, POPT_ARG_STRING, &flags.json, 0, "results as JSON", "FILE" },
+    { "plots", 0, POPT_ARG_STRING, &flags.plots, 0,
+      "data and a script for gnuplot, in a folder that is there", "FOLDER" },
+    POPT_AUTOHELP POPT_TABLEEND,
+  };
+  poptContext popt = poptGetContext (NULL, argc, argv, table, 0);
+  struct experiment experiment;
+  struct bl_str text;
+  const char *path;
+  int opt = poptGetNextOpt (popt);
+  int status;
+
+  path = poptGetArg (popt);
+  if (opt < -1 || path == NULL || poptPeekArg (popt) != NULL || flags.seeds < 1
+      || flags.seeds > SEEDS_MAX)
+    {
+      fprintf (stderr, "usage: boragelatch-emulate [FLAGS] FILE.json\n");
+      return 1;
+    }
+  if (!read_file (path, &text))
+    return 1;
+  if (experiment_read (&experiment, text, &findings) != BL_OK)
+    {
+      io_print_findings (&findings);
+      return 1;
+    }
+  status = run (&experiment, &flags);
+  experiment_clear (&experiment);
+  free ((char *)text.ptr);
+  poptFreeContext (popt);
+  return status;
+}
--- a/standin/callers.c
+++ b/standin/callers.c
@@ -30,6 +30,7 @@
 #define PROBE_MS      500
 #define ID_MAX        32
 #define ANSWER_MAX    65536
+#define RESET_WINDOW  76800u /* a reset counts if its number is so near */
 
 enum phase
 {
@@ -260,6 +261,9 @@
   u = find (&in);
   if (u == NULL)
     return;
+  if ((in.flags & SEGMENT_RST) && u->open
+      && in.seq - u->ack + RESET_WINDOW > 2 * RESET_WINDOW)
+    return;
   if (in.flags & SEGMENT_RST)
     {
       u->open = false;
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -501,24 +501,72 @@
   bl_dispatch_learn (d, 10, &r);
 }
 
+/* An agent answers the question about ACK.  */
+static void
+agent_says_of (struct bl_dispatch *d,
+               uint64_t now,
+               uint32_t ip,
+               enum bl_link_type type,
+               uint32_t ack)
+{
+  struct bl_link link
+      = { .type = type, .key = step_key, .incarnation = 1, .ack = ack };
+
+  bl_dispatch_link (d, now, (struct bl_addr){ ip, 1 }, &link, NULL, NULL, 0);
+}
+
 static void
 agent_says (struct bl_dispatch *d,
             uint64_t now,
             uint32_t ip,
             enum bl_link_type type)
 {
-  struct bl_link link = { .type = type, .key = step_key, .incarnation = 1 };
+  agent_says_of (d, now, ip, type, 0);
+}
 
-  bl_dispatch_link (d, now, (struct bl_addr){ ip, 1 }, &link, NULL, NULL, 0);
+static void
+send_packet (struct bl_dispatch *d, uint64_t now, uint32_t ack, uint16_t len)
+{
+  struct bl_packet p = {
+    .key = step_key, .flags = BL_TCP_ACK, .ack = ack, .payload_len = len
+  };
+
+  bl_dispatch_packet (d, now, &p, (const uint8_t *)&p, sizeof p);
 }
 
 static void
 send_data (struct bl_dispatch *d, uint64_t now)
 {
-  struct bl_packet p
-      = { .key = step_key, .flags = BL_TCP_ACK, .payload_len = 10 };
+  send_packet (d, now, 0, 10);
+}
 
-  bl_dispatch_packet (d, now, &p, (const uint8_t *)&p, sizeof p);
+/* A packet of an ended flow comes late, and while agents are asked whose it is
+   its port is used again: their denials say nothing of the new flow.  */
+static void
+test_port_used_again_meanwhile (void **state)
+{
+  const uint32_t former = 7;
+  const uint32_t present = 0x40000000;
+  struct seen seen = { .resets = 0 };
+  struct bl_dispatch *d = one_balancer (&seen);
+
+  (void)state;
+  learn_agent (d, 10, 11, "s");
+  learn_agent (d, 10, 12, "s");
+  bl_dispatch_listed (d, 10);
+  bl_dispatch_tick (d, 400);
+  send_packet (d, 410, former, 0);
+  agent_says_of (d, 411, 11, BL_LINK_DENIED, former);
+  send_packet (d, 412, present, 10);
+  agent_says_of (d, 413, 12, BL_LINK_DENIED, former);
+  assert_int_equal (seen.resets, 0);
+  assert_int_equal (seen.queries, 4);
+  agent_says_of (d, 414, 12, BL_LINK_DENIED, present);
+  assert_int_equal (seen.resets, 0);
+  agent_says_of (d, 415, 11, BL_LINK_OWNED, present);
+  assert_int_equal (seen.resets, 0);
+  assert_int_equal (seen.packets, 1);
+  bl_dispatch_free (d);
 }
 
 /* A balancer that has just started knows two of three agents: that both deny a
@@ -956,6 +1004,7 @@
     cmocka_unit_test (test_address_taken_over),
     cmocka_unit_test (test_leaves_in_turn),
     cmocka_unit_test (test_all_packets_wait),
+    cmocka_unit_test (test_port_used_again_meanwhile),
     cmocka_unit_test (test_denials_of_a_part),
     cmocka_unit_test (test_routes_change_meanwhile),
     cmocka_unit_test (test_denials_before_first_tick),
