Show and change routes in the users' platform's store with the operator's tool

Cause: boragelatchctl spoke the IP transport's object API only; on the users' platform an operator had to write JSON objects by hand. Ruled out: edits of single routes (the platform's operator writes whole sets).

--- a/Makefile
+++ b/Makefile
@@ -44,7 +44,7 @@
 $(B)/boragelatchd: $(DAEMON) $(PLATFORM) $(IO) $(STACK) $(B)/libboragelatch.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS) $(IO_LIBS) -lcivetweb -lpopt -llwip
 
-$(B)/boragelatchctl: $(CTL) $(IO) $(B)/libboragelatch.a
+$(B)/boragelatchctl: $(CTL) $(PLATFORM) $(IO) $(B)/libboragelatch.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS) $(IO_LIBS) -lpopt
 
 $(B)/boragelatch-emulate: $(B)/emulator/main.o $(EMULATOR) $(IO) $(B)/libboragelatch.a
--- a/core/store.h
+++ b/core/store.h
@@ -20,6 +20,10 @@
 const struct bl_record *bl_store_get (const struct bl_store *store,
                                       enum bl_kind kind,
                                       const struct bl_name *id);
+/* RECORD as JSON; free with free().  NULL when out of memory.  */
+char *bl_record_text (const struct bl_record *record);
+/* Reads what bl_record_text wrote.  BL_EFORMAT.  */
+int bl_record_parse (struct bl_record *record, const char *text);
 /* Whether a record of INCARNATION, held elsewhere, would win over RECORD.
    False for one that cannot be outdone in turn.  */
 bool bl_record_is_outdone (const struct bl_record *record,
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -22,6 +22,7 @@
 struct ctl
 {
   char *platform; /* URL */
+  char *store;    /* IP:PORT of the users' platform; empty: not there */
   char *admin;    /* IP:PORT of any balancer */
   char *by;       /* operator */
   int json;
@@ -41,6 +42,11 @@
 /* Prints what the logs in FILES, up to a NULL, tell of FLOW, and what ended it.
  */
 enum ctl_exit ctl_explain (const char *flow, const char *const *files);
+/* The same as ctl_show, from the store of the users' platform: routes, backends
+   or balancers.  */
+enum ctl_exit ctl_store_show (const struct ctl *ctl, const char *what);
+/* Puts the routes in TEXT, all of them, in force.  */
+enum ctl_exit ctl_store_routes (const struct ctl *ctl, struct bl_str text);
 /* GETs http://ADDR/v1/status; NULL without an answer.  */
 json_t *ctl_status (const char *addr);
 
--- a/ctl/main.c
+++ b/ctl/main.c
@@ -235,6 +235,28 @@
   return ctl_wait (&flags->ctl, strtoul (args[0], NULL, 10));
 }
 
+static enum ctl_exit
+run_routes (struct flags *flags, const char **args)
+{
+  struct bl_str text;
+  enum ctl_exit status;
+
+  if (flags->ctl.store[0] == '\0')
+    {
+      fprintf (stderr, "--store: must be given\n");
+      return CTL_USAGE;
+    }
+  text.ptr = read_file (args[0], &text.len);
+  if (text.ptr == NULL)
+    {
+      fprintf (stderr, "routes: cannot read %s\n", args[0]);
+      return CTL_USAGE;
+    }
+  status = ctl_store_routes (&flags->ctl, text);
+  free ((char *)text.ptr);
+  return status;
+}
+
 static enum ctl_exit
 run_explain (struct flags *flags, const char **args)
 {
@@ -248,7 +270,7 @@
 #define MORE(count) (-(count)-1) /* COUNT arguments or more */
 
 static const struct command commands[] = {
-  { "show", "services|backends|balancers|flows|changes",
+  { "show", "services|backends|balancers|flows|changes|routes",
     "what is in force and where", 1, run_show },
   { "create", "SERVICE --address IP --listen " LISTEN_HELP "...",
     "creates a service", 1, run_create },
@@ -262,6 +284,8 @@
   { "undrain", "SERVICE --backend ID|--dc DC", "ends a drain", 1, run_undrain },
   { "apply", "FILE|-", "makes a change of several edits, whole or not at all",
     1, run_apply },
+  { "routes", "FILE|-", "puts all routes, of a newer version, into --store", 1,
+    run_routes },
   { "wait", "VERSION", "waits until a version is in force everywhere", 1,
     run_wait },
   { "explain", "CALLER:PORT[-ADDRESS:PORT] FILE|-...",
@@ -373,6 +397,8 @@
   struct poptOption table[] = {
     { "platform", 0, POPT_ARG_STRING, &f.ctl.platform, 0,
       "of the object API (BORAGELATCH_PLATFORM)", "URL" },
+    { "store", 0, POPT_ARG_STRING, &f.ctl.store, 0,
+      "of the users' platform (BORAGELATCH_STORE)", "IP:PORT" },
     { "admin", 0, POPT_ARG_STRING, &f.ctl.admin, 0,
       "of any balancer (BORAGELATCH_ADMIN)", "IP:PORT" },
     { "by", 0, POPT_ARG_STRING, &f.ctl.by, 0,
@@ -408,6 +434,8 @@
   if (f.ctl.platform == NULL)
     f.ctl.platform
         = from_environment ("BORAGELATCH_PLATFORM", "http://127.0.0.1:8500");
+  if (f.ctl.store == NULL)
+    f.ctl.store = from_environment ("BORAGELATCH_STORE", "");
   if (f.ctl.admin == NULL)
     f.ctl.admin = from_environment ("BORAGELATCH_ADMIN", "127.0.0.1:8400");
   if (f.ctl.by == NULL)
--- a/ctl/query.c
+++ b/ctl/query.c
@@ -304,6 +304,8 @@
 enum ctl_exit
 ctl_show (const struct ctl *ctl, const char *what)
 {
+  if (ctl->store[0] != '\0')
+    return ctl_store_show (ctl, what);
   if (strcmp (what, "services") == 0)
     return show_config (ctl, false);
   if (strcmp (what, "changes") == 0)
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -129,10 +129,6 @@
 void registry_stop (struct registry *registry, bool withdraw);
 uint64_t registry_calls (const struct registry *registry);
 
-/* Reads a record as it lies in the store.  BL_EFORMAT.  */
-int registry_parse (struct bl_record *record, const char *text);
-#define REGISTRY_KIND "boragelatch-instances"
-
 /* Follows all objects of one kind, from a thread of its own.  */
 struct follower;
 
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -7,6 +7,7 @@
 
 #include "core/dispatch.h"
 #include "core/msg.h"
+#include "core/store.h"
 #include "daemon/daemon.h"
 #include "daemon/link_io.h"
 #include "platform/platform.h"
@@ -293,7 +294,7 @@
   /* An instance that is gone is noticed by its silence.  */
   if (text == NULL)
     return;
-  if (registry_parse (&record, text) != BL_OK)
+  if (bl_record_parse (&record, text) != BL_OK)
     {
       io_log (IO_WARN, "instance_unreadable", "object=%.*s revision=%lu",
               (int)name.len, name.ptr, revision);
@@ -395,10 +396,11 @@
                  t->record.dc.s, "service", t->record.service.s, "state",
                  bl_state_name (t->record.state), "busy", (json_int_t)t->busy,
                  "flows", (json_int_t)t->flows, "suspect", (int)t->suspect));
-  return json_pack ("{s:s, s:s, s:s, s:I, s:b, s:o}", "role", "balancer", "id",
-                    d->settings->id.s, "dc", d->settings->dc.s, "version",
-                    (json_int_t)(table != NULL ? table->version : 0), "ready",
-                    (int)admin_ready (d), "instances", list);
+  return json_pack ("{s:s, s:s, s:s, s:s, s:I, s:b, s:o}", "role", "balancer",
+                    "id", d->settings->id.s, "dc", d->settings->dc.s, "state",
+                    bl_state_name (bl_dispatch_record (d->core)->state),
+                    "version", (json_int_t)(table != NULL ? table->version : 0),
+                    "ready", (int)admin_ready (d), "instances", list);
 }
 
 static void
@@ -561,7 +563,7 @@
   };
   struct follower_settings members = {
     .store = s->store,
-    .kind = REGISTRY_KIND,
+    .kind = PLATFORM_INSTANCES_KIND,
     .wait_ms = MEMBERS_WAIT_MS,
     .pause_ms = MEMBERS_PAUSE_MS,
     .stale = true,
--- /dev/null
+++ b/test/process_store.sh
@@ -0,0 +1,57 @@
+#!/bin/bash
+# process_store.sh -- the operator's tool on the store of the users' platform
+
+cd "$(dirname "$0")/.." || exit 1
+. examples/deploy.sh
+. examples/datagram.sh
+trap 'stop_all; rm -rf "$RUN"' EXIT
+deploy_datagram || fail "deploy"
+
+ctl () { "$BIN/boragelatchctl" --store "$STORE_IP:8600" "$@" 2>&1; }
+
+# want STATUS TEXT ARGS...: the tool's exit status, and a text that it prints
+want () {
+  local status=$1 text=$2 out got
+  shift 2
+  out=$(ctl "$@")
+  got=$?
+  [ $got = "$status" ] || fail "$*: status $got, not $status: $out"
+  grep -qF -- "$text" <<<"$out" || fail "$*: \"$text\" is missing: $out"
+}
+
+# routes VERSION SERVICE PORT: a file with one route
+routes () {
+  echo "{\"version\":$1,\"routes\":[{\"name\":\"r\",\"host\":\"198.18.0.1\",
+    \"pathPrefix\":\"/$3/\",\"type\":\"idempotent\",\"timeoutMs\":5000,
+    \"targetLatencyMs\":500,\"priority\":1,\"service\":\"$2\"}],
+    \"services\":[{\"name\":\"$2\",\"healthCheckPath\":\"/health\",
+    \"maxConnections\":2000}],\"limits\":{\"idleTimeoutMs\":15000}}"
+}
+
+want 0 "version 1, 1 routes" show routes
+want 0 "198.18.0.1:443" show routes
+want 0 "b3" show balancers
+want 0 "ready" show balancers
+want 0 "w4" show backends
+want 0 '"service": "other"' --json show backends
+want 1 "is not one of" show flows
+routes 9 web 443 >"$RUN/same"
+routes 10 other 444 >"$RUN/moved"
+echo '{"version":11,"routes":[{"host":"nowhere"}]}' >"$RUN/bad"
+want 2 "refused: nothing was changed" routes "$RUN/bad"
+want 1 "cannot read" routes "$RUN/none"
+want 0 "dry run: nothing was changed" --dry-run routes "$RUN/moved"
+want 0 "- 198.18.0.1:443" --dry-run routes "$RUN/moved"
+want 0 "+ 198.18.0.1:444" --dry-run routes "$RUN/moved"
+want 0 "version 1," show routes
+want 0 "in force at every balancer" --wait routes "$RUN/same"
+want 2 "must be above 9" routes "$RUN/same"
+want 0 "~ 198.18.0.1:443" --dry-run routes <(routes 12 other 443)
+store_fault mode=down
+want 4 "the store at" show routes
+want 4 "the store at" routes "$RUN/moved"
+store_fault mode=up
+want 0 "accepted as version 10" routes "$RUN/moved"
+want 0 "198.18.0.1:444" show routes
+want 1 "is not IP:PORT" --store nowhere show routes
+want 1 "must be given" --store "" routes "$RUN/moved"
