--- a/emulator/main.c
+++ b/emulator/main.c
@@ -92,7 +92,7 @@
     for (size_t i = 0; i < count; i++)
       {
         experiment_add (experiment, &results[i], choices[i],
-                        (uint64_t)(flags->first_seed + s));
+                        (uint64_t)flags->first_seed + (uint64_t)s);
         show_progress (++done, all);
       }
   experiment_print (experiment, results, count);
--- a/emulator/report.c
+++ b/emulator/report.c
@@ -3,8 +3,12 @@
 #include "emulator/experiment.h"
 
 #include <jansson.h>
+#include <math.h>
 #include <stdio.h>
 
+#define TIMES_POINTS     80 /* of a plot of times: up to 0.999 of all */
+#define POINTS_A_HALVING 8  /* of the share that is left */
+
 static const double shares[] = { 0.5, 0.99, 0.999 };
 
 static struct em_outcome
@@ -182,11 +186,13 @@
 
   if (out == NULL)
     return -1;
-  for (double p = 0.01; p < 0.9999; p += p < 0.985 ? 0.01 : (1 - p) / 4)
+  for (unsigned i = 1; i < TIMES_POINTS; i++)
     {
+      /* Ever finer towards all of them.  */
+      double p = 1 - exp2 (-(double)i / POINTS_A_HALVING);
       fprintf (out, "%.5f", p);
-      for (size_t i = 0; i < count; i++)
-        fprintf (out, " %.2f", em_percentile (&results[i].totals.times[0], p));
+      for (size_t r = 0; r < count; r++)
+        fprintf (out, " %.2f", em_percentile (&results[r].totals.times[0], p));
       fputc ('\n', out);
     }
   return fclose (out);
