--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -183,6 +183,9 @@
 
 struct decision_log *decision_log_new (unsigned lines_s);
 void decision_log_free (struct decision_log *log);
+void decision_log_set_budget (struct decision_log *log, unsigned lines_s);
+/* After SIGHUP: reads what may change and puts it in force.  */
+void decision_log_reload (struct decision_log *log, const struct settings *s);
 /* False: the line is left out.  *SUPPRESSED were, before this one.  */
 bool decision_log_pass (struct decision_log *log,
                         uint64_t now,
--- a/daemon/decision_log.c
+++ b/daemon/decision_log.c
@@ -42,6 +42,48 @@
   free (log);
 }
 
+void
+decision_log_set_budget (struct decision_log *log, unsigned lines_s)
+{
+  log->lines_s = lines_s;
+}
+
+/* Quotes would end the value that they stand in.  */
+static void
+log_refusal (struct bl_finding *finding)
+{
+  for (char *at = finding->text; *at != '\0'; at++)
+    if (*at == '"')
+      *at = '\'';
+  io_log (IO_WARN, "reload_refused", "place=\"%s\" why=\"%s\"", finding->place,
+          finding->text);
+}
+
+void
+decision_log_reload (struct decision_log *log, const struct settings *s)
+{
+  static struct bl_findings findings;
+  struct settings_live live;
+
+  findings.count = 0;
+  if (s->reload_file == NULL || s->reload_file[0] == '\0')
+    {
+      io_log (IO_INFO, "reloaded", "id=%s changed=nothing", s->id.s);
+      return;
+    }
+  if (settings_reload (s, &live, &findings) != BL_OK)
+    {
+      for (size_t i = 0; i < findings.count && i < BL_FINDINGS_MAX; i++)
+        log_refusal (&findings.items[i]);
+      return;
+    }
+  io_log (IO_INFO, "reloaded", "id=%s log_level=%s log_lines_s=%lu", s->id.s,
+          live.log_level, live.log_lines_s);
+  decision_log_set_budget (log, (unsigned)live.log_lines_s);
+  io_log_set_level (live.log_level);
+  settings_live_clear (&live);
+}
+
 static struct kind *
 find (struct decision_log *log, const char *what)
 {
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -478,7 +478,7 @@
   bl_dispatch_tick (d->core, io_now_ms ());
   follower_set_wait (d->routes, routes_wait_ms (d));
   if (daemon_reloading ())
-    io_log (IO_INFO, "reloaded", "id=%s changed=nothing", d->settings->id.s);
+    decision_log_reload (d->log, d->settings);
   if (daemon_stopping ())
     start_stop (d);
   watch_stop (d);
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -385,7 +385,7 @@
   bl_pass_tick (p->core, now);
   limit_check (p);
   if (daemon_reloading ())
-    io_log (IO_INFO, "reloaded", "id=%s changed=nothing", p->settings->id.s);
+    decision_log_reload (p->log, p->settings);
   if (daemon_stopping ())
     start_stop (p);
   if (p->stopping_ms != 0 && now - p->stopping_ms >= STOP_MS)
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -106,8 +106,10 @@
   { "heartbeat-ms", ROLE_PASSTHROUGH, false, "1000", read_number,
     AT (heartbeat_ms), HEARTBEAT_MAX_MS,
     "milliseconds between two heartbeats of the backend server" },
-  { "log-lines-s", DATAGRAM_ROLES, false, "20", read_number, AT (log_lines_s),
+  { "log-lines-s", DATAGRAM_ROLES, false, "10", read_number, AT (log_lines_s),
     LINES_MAX_S, "lines a second for each kind of decision, at most" },
+  { "reload-file", DATAGRAM_ROLES, false, "", read_text, AT (reload_file), 0,
+    "file of lines log-level=LEVEL and log-lines-s=COUNT, read at SIGHUP" },
   { "service", ROLE_AGENT | ROLE_PASSTHROUGH, true, "", read_name, AT (service),
     0, "service of the backend server" },
   { "backend", ROLE_AGENT | ROLE_PASSTHROUGH, true, "", read_addr, AT (backend),
@@ -408,6 +410,92 @@
   return findings->count > 0 ? BL_EFORMAT : BL_OK;
 }
 
+/* -- reload -- */
+
+#define RELOAD_LINE_MAX 256
+
+static const struct option *
+find_live (const char *name)
+{
+  for (size_t i = 0; i < OPTION_COUNT; i++)
+    if (strcmp (options[i].name, name) == 0
+        && (options[i].offset == AT (log_level)
+            || options[i].offset == AT (log_lines_s)))
+      return &options[i];
+  return NULL;
+}
+
+/* Reads one line into S, of which only what may change is used.  */
+static void
+reload_line (struct settings *s,
+             const char *path,
+             unsigned number,
+             char *line,
+             struct bl_findings *findings)
+{
+  char *value = strchr (line, '=');
+  char place[BL_FINDING_PLACE_MAX];
+  const struct option *o;
+  size_t before;
+
+  line[strcspn (line, "\r\n")] = '\0';
+  if (line[0] == '\0' || line[0] == '#')
+    return;
+  snprintf (place, sizeof place, "%s:%u", path, number);
+  if (value != NULL)
+    *value++ = '\0';
+  o = value != NULL ? find_live (line) : NULL;
+  if (o == NULL)
+    {
+      bl_findings_add (findings, place,
+                       "must be log-level=LEVEL or log-lines-s=COUNT");
+      return;
+    }
+  if (o->offset == AT (log_level))
+    {
+      free (s->log_level);
+      s->log_level = NULL;
+    }
+  before = findings->count;
+  o->read (o, (char *)s + o->offset, value, findings);
+  if (findings->count > before && before < BL_FINDINGS_MAX)
+    memcpy (findings->items[before].place, place, sizeof place);
+}
+
+int
+settings_reload (const struct settings *s,
+                 struct settings_live *out,
+                 struct bl_findings *findings)
+{
+  struct settings read
+      = { .log_level = strdup (s->log_level), .log_lines_s = s->log_lines_s };
+  size_t before = findings->count;
+  char line[RELOAD_LINE_MAX];
+  unsigned number = 0;
+  FILE *in = fopen (s->reload_file, "r");
+
+  *out = (struct settings_live){ .log_lines_s = 0 };
+  if (in == NULL)
+    bl_findings_add (findings, s->reload_file, "%s", strerror (errno));
+  while (in != NULL && fgets (line, sizeof line, in) != NULL)
+    reload_line (&read, s->reload_file, ++number, line, findings);
+  if (in != NULL)
+    fclose (in);
+  if (findings->count > before || read.log_level == NULL)
+    {
+      free (read.log_level);
+      return BL_EFORMAT;
+    }
+  *out = (struct settings_live){ read.log_level, read.log_lines_s };
+  return BL_OK;
+}
+
+void
+settings_live_clear (struct settings_live *live)
+{
+  free (live->log_level);
+}
+
 void
 settings_print (const struct settings *s)
 {
@@ -431,4 +519,5 @@
     }
   free (s->platform);
   free (s->log_level);
+  free (s->reload_file);
 }
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -44,6 +44,7 @@
   unsigned long link_port;       /* datagram: UDP, messages about flows */
   unsigned long heartbeat_ms;
   unsigned long log_lines_s;
+  char *reload_file; /* datagram: read at SIGHUP; empty: none */
   unsigned long slots;
   unsigned long max_flows;
   bool check_only;
@@ -56,6 +57,20 @@
                    int argc,
                    const char **argv,
                    struct bl_findings *findings);
+/* What may change while a process runs.  */
+struct settings_live
+{
+  char *log_level; /* owned */
+  unsigned long log_lines_s;
+};
+
+/* Reads lines "NAME=VALUE" of the file that S names; what it does not name is
+   as in S.  BL_EFORMAT with findings, each with its line; *OUT is then empty.
+ */
+int settings_reload (const struct settings *s,
+                     struct settings_live *out,
+                     struct bl_findings *findings);
+void settings_live_clear (struct settings_live *live);
 /* Prints each setting that applies to the role, with where it came from.  */
 void settings_print (const struct settings *s);
 void settings_free (struct settings *s);
--- a/io/io.h
+++ b/io/io.h
@@ -25,6 +25,8 @@
 /* Opens the log on standard output.  LEVEL is "error", "warn", "info" or
    "debug"; BL_EFORMAT for anything else.  */
 int io_log_open (const char *level);
+/* Changes the level; BL_EFORMAT for what is none.  */
+int io_log_set_level (const char *level);
 void io_log_close (void);
 /* Logs "event=EVENT" and what FORMAT adds; a value that may hold a space is
    to be quoted by the caller.  */
--- a/io/log.c
+++ b/io/log.c
@@ -98,16 +98,34 @@
   .append = append_line,
 };
 
+/* -1 for what is no level.  */
+static int
+priority_of (const char *level)
+{
+  for (size_t i = 0; i < sizeof levels / sizeof levels[0]; i++)
+    if (strcmp (levels[i].name, level) == 0)
+      return levels[i].priority;
+  return -1;
+}
+
+int
+io_log_set_level (const char *level)
+{
+  int priority = priority_of (level);
+
+  if (priority < 0)
+    return BL_EFORMAT;
+  log4c_category_set_priority (category, priority);
+  return BL_OK;
+}
+
 int
 io_log_open (const char *level)
 {
   log4c_layout_t *layout;
   log4c_appender_t *appender;
-  int priority = -1;
+  int priority = priority_of (level);
 
-  for (size_t i = 0; i < sizeof levels / sizeof levels[0]; i++)
-    if (strcmp (levels[i].name, level) == 0)
-      priority = levels[i].priority;
   if (priority < 0)
     return BL_EFORMAT;
   log4c_init ();
