Find agents by address and by service instead of walking all

Ruled out: fewer candidates drawn (the walk is to find them). Conclusion: kept. Asking every agent of a region about one flow stays proportional to the fleet, and remembering who was asked to its square (docs/CAPACITY.md).

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -19,6 +19,7 @@
 #include <string.h>
 
 #define SWEEP_MS        500
+#define INSTANCES_A_MS  50    /* looked at; bounds the time spent on them */
 #define IDLE_DEFAULT_MS 15000 /* until the routes tell */
 #define IDLE_SLACK_MS   2000  /* kept longer than callers may be silent */
 
@@ -492,9 +493,13 @@
   d->now = now;
   if (d->started_ms == 0)
     d->started_ms = now;
-  bl_fleet_judge (&d->fleet, now);
-  bl_dispatch_update_state (d);
-  bl_members_tick (d);
+  if (now >= d->next_members_ms || d->has_news)
+    {
+      d->next_members_ms = now + HASH_COUNT (d->fleet.targets) / INSTANCES_A_MS;
+      bl_fleet_judge (&d->fleet, now);
+      bl_dispatch_update_state (d);
+      bl_members_tick (d);
+    }
   wait_for_answers (d);
   if (now < d->next_sweep_ms)
     return;
--- a/core/dispatch_choose.c
+++ b/core/dispatch_choose.c
@@ -60,22 +60,21 @@
          bool suspect,
          struct candidates *out)
 {
-  struct bl_target *t;
-  struct bl_target *next;
+  const struct bl_servers *servers = bl_fleet_servers (&d->fleet, f->service);
 
   out->count = 0;
   out->totals = (struct totals){ .busy = 0.5, .flows = 1, .slots = 0 };
-  HASH_ITER (hh, d->fleet.targets, t, next)
-  {
-    if (t->record.kind != BL_KIND_BACKEND || t->service != f->service
-        || t->record.state != BL_STATE_READY)
-      continue;
-    out->totals.busy += t->busy;
-    out->totals.flows += t->flows + t->placed;
-    out->totals.slots += slots_of (t);
-    if (t->suspect == suspect && !was_tried (f, t) && out->count < CANDIDATES)
-      out->items[out->count++] = t;
-  }
+  for (size_t i = 0; servers != NULL && i < servers->count; i++)
+    {
+      struct bl_target *t = servers->items[i];
+      if (t->record.state != BL_STATE_READY)
+        continue;
+      out->totals.busy += t->busy;
+      out->totals.flows += t->flows + t->placed;
+      out->totals.slots += slots_of (t);
+      if (t->suspect == suspect && !was_tried (f, t) && out->count < CANDIDATES)
+        out->items[out->count++] = t;
+    }
 }
 
 static double
--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -103,6 +103,7 @@
   struct bl_passing *flows;
   struct bl_passing *pending;
   uint64_t next_sweep_ms;
+  uint64_t next_members_ms;
   uint64_t next_seed_ms;
   uint64_t next_compare_ms;
   uint64_t next_records_ms; /* records are pulled not before */
--- a/core/dispatch_inquiry.c
+++ b/core/dispatch_inquiry.c
@@ -27,15 +27,6 @@
 #define PROBE_MS   50  /* until a backend server would have returned it */
 #define ACK_WINDOW (1u << 20) /* sequence numbers of one flow lie within it */
 
-static bool
-serves_route (const struct bl_table_route *route, uint64_t service)
-{
-  for (size_t i = 0; route != NULL && i < route->split_count; i++)
-    if (route->splits[i].service_hash == service)
-      return true;
-  return false;
-}
-
 static bool
 was_asked (const struct bl_inquiry *q, const struct bl_target *t)
 {
@@ -77,24 +68,37 @@
   d->ops.to_agent (d->ctx, bl_target_data (t), &link, NULL, 0);
 }
 
-/* Asks the agents that serve the route, or all that were not asked yet: routes
-   may have changed meanwhile, and instances have come.  Returns how many.  */
+/* Asks the agents of the route's services, or all that were not asked yet:
+   routes may have changed meanwhile, and instances have come.  Returns how
+   many.
+ */
 static size_t
-ask_some (struct bl_dispatch *d, struct bl_passing *f, bool everywhere)
+ask_route (struct bl_dispatch *d, struct bl_passing *f)
 {
   const struct bl_table_route *route
       = bl_table_find (d->table, f->key.dst_ip, f->key.dst_port);
   size_t before = f->inquiry.count;
-  struct bl_target *t;
-  struct bl_target *next;
-
-  HASH_ITER (hh, d->fleet.targets, t, next)
-  {
-    if (t->record.kind != BL_KIND_BACKEND || t->record.state >= BL_STATE_LEFT)
-      continue;
-    if (everywhere || serves_route (route, t->service))
-      ask (d, f, t);
-  }
+
+  for (size_t s = 0; route != NULL && s < route->split_count; s++)
+    {
+      const struct bl_servers *servers
+          = bl_fleet_servers (&d->fleet, route->splits[s].service_hash);
+      for (size_t i = 0; servers != NULL && i < servers->count; i++)
+        ask (d, f, servers->items[i]);
+    }
+  return f->inquiry.count - before;
+}
+
+static size_t
+ask_all (struct bl_dispatch *d, struct bl_passing *f)
+{
+  size_t before = f->inquiry.count;
+  struct bl_servers *servers;
+  struct bl_servers *next;
+
+  HASH_ITER (hh, d->fleet.services, servers, next)
+  for (size_t i = 0; i < servers->count; i++)
+    ask (d, f, servers->items[i]);
   return f->inquiry.count - before;
 }
 
@@ -113,7 +117,7 @@
   f->since_ms = d->now;
   d->counters[BL_DISPATCH_SEARCHES]++;
   bl_passing_wait (d, f, true);
-  ask_some (d, f, false);
+  ask_route (d, f);
 }
 
 void
@@ -158,12 +162,12 @@
   if (!f->inquiry.everywhere)
     {
       f->inquiry.everywhere = true;
-      if (ask_some (d, f, true) > 0)
+      if (ask_all (d, f) > 0)
         return;
     }
   if (!f->held_data || !bl_fleet_sees (&d->fleet) || !bl_dispatch_knows_all (d))
     drop (d, f, "denied_by_all");
-  else if (bl_compare_confirmed (d, f->since_ms) && ask_some (d, f, true) == 0)
+  else if (bl_compare_confirmed (d, f->since_ms) && ask_all (d, f) == 0)
     bl_dispatch_end (d, f, BL_DISPATCH_LOST, "denied_by_all");
 }
 
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -23,9 +23,18 @@
 void
 bl_fleet_clear (struct bl_fleet *fleet)
 {
+  struct bl_servers *servers;
+  struct bl_servers *next_servers;
   struct bl_target *t;
   struct bl_target *next;
 
+  HASH_CLEAR (hh, fleet->places);
+  HASH_ITER (hh, fleet->services, servers, next_servers)
+  {
+    HASH_DEL (fleet->services, servers);
+    free (servers->items);
+    free (servers);
+  }
   HASH_ITER (hh, fleet->targets, t, next)
   {
     HASH_DEL (fleet->targets, t);
@@ -34,6 +43,129 @@
   bl_store_free (fleet->store);
 }
 
+/* -- by address -- */
+
+static uint64_t
+place_key (struct bl_addr addr)
+{
+  return (uint64_t)addr.ip << 16 | addr.port;
+}
+
+static struct bl_place *
+find_place (const struct bl_fleet *fleet, uint64_t key)
+{
+  struct bl_place *p;
+
+  HASH_FIND (hh, fleet->places, &key, sizeof key, p);
+  return p;
+}
+
+static void
+leave_place (struct bl_fleet *fleet, struct bl_place *p)
+{
+  if (p->key == 0)
+    return;
+  HASH_DELETE (hh, fleet->places, p);
+  p->key = 0;
+}
+
+/* Whoever was there before has left.  */
+static void
+take_place (struct bl_fleet *fleet,
+            struct bl_place *p,
+            struct bl_target *t,
+            struct bl_addr addr)
+{
+  uint64_t key = place_key (addr);
+  struct bl_place *before = find_place (fleet, key);
+
+  if (before == p)
+    return;
+  if (before != NULL)
+    leave_place (fleet, before);
+  leave_place (fleet, p);
+  p->key = key;
+  p->target = t;
+  HASH_ADD (hh, fleet->places, key, sizeof p->key, p);
+}
+
+/* -- by service -- */
+
+const struct bl_servers *
+bl_fleet_servers (const struct bl_fleet *fleet, uint64_t service)
+{
+  struct bl_servers *s;
+
+  HASH_FIND (hh, fleet->services, &service, sizeof service, s);
+  return s;
+}
+
+static struct bl_servers *
+get_servers (struct bl_fleet *fleet, uint64_t service)
+{
+  struct bl_servers *s = (struct bl_servers *)bl_fleet_servers (fleet, service);
+
+  if (s != NULL)
+    return s;
+  s = calloc (1, sizeof *s);
+  if (s == NULL)
+    return NULL;
+  s->service = service;
+  HASH_ADD (hh, fleet->services, service, sizeof s->service, s);
+  return s;
+}
+
+static void
+leave_service (struct bl_target *t)
+{
+  struct bl_servers *s = t->servers;
+
+  if (s == NULL)
+    return;
+  s->items[t->position] = s->items[--s->count];
+  s->items[t->position]->position = t->position;
+  t->servers = NULL;
+}
+
+static void
+join_service (struct bl_fleet *fleet, struct bl_target *t)
+{
+  struct bl_servers *s = get_servers (fleet, t->service);
+
+  if (s == NULL || s == t->servers)
+    return;
+  leave_service (t);
+  if (s->count == s->cap)
+    {
+      size_t cap = s->cap > 0 ? s->cap * 2 : 8;
+      struct bl_target **items = realloc (s->items, cap * sizeof *items);
+      if (items == NULL)
+        return;
+      s->items = items;
+      s->cap = cap;
+    }
+  t->servers = s;
+  t->position = s->count;
+  s->items[s->count++] = t;
+}
+
+/* Brings the tables up to T's record.  */
+static void
+index_target (struct bl_fleet *fleet, struct bl_target *t)
+{
+  if (t->record.state >= BL_STATE_LEFT)
+    {
+      leave_place (fleet, &t->data);
+      leave_place (fleet, &t->control);
+      leave_service (t);
+      return;
+    }
+  take_place (fleet, &t->data, t, bl_target_data (t));
+  take_place (fleet, &t->control, t, bl_target_control (t));
+  if (t->record.kind == BL_KIND_BACKEND)
+    join_service (fleet, t);
+}
+
 struct bl_target *
 bl_fleet_find (const struct bl_fleet *fleet, const struct bl_name *id)
 {
@@ -46,15 +178,9 @@
 struct bl_target *
 bl_fleet_at (const struct bl_fleet *fleet, struct bl_addr addr)
 {
-  struct bl_target *t;
-  struct bl_target *next;
+  struct bl_place *p = find_place (fleet, place_key (addr));
 
-  HASH_ITER (hh, fleet->targets, t, next)
-  if (t->record.ip == addr.ip && t->record.state < BL_STATE_LEFT
-      && (t->record.data_port == addr.port
-          || t->record.control_port == addr.port))
-    return t;
-  return NULL;
+  return p != NULL ? p->target : NULL;
 }
 
 static struct bl_target *
@@ -74,18 +200,16 @@
 static void
 retire_older (struct bl_fleet *fleet, struct bl_target *learnt)
 {
-  struct bl_target *t;
-  struct bl_target *next;
+  struct bl_place *p
+      = find_place (fleet, place_key (bl_target_control (learnt)));
+  struct bl_target *older;
 
-  HASH_ITER (hh, fleet->targets, t, next)
-  {
-    struct bl_target *older
-        = t->record.incarnation < learnt->record.incarnation ? t : learnt;
-    if (t != learnt && t->record.ip == learnt->record.ip
-        && t->record.control_port == learnt->record.control_port
-        && t->record.state < BL_STATE_LEFT)
-      older->record.state = BL_STATE_LEFT;
-  }
+  if (p == NULL || p->target == learnt)
+    return;
+  older = p->target->record.incarnation < learnt->record.incarnation ? p->target
+                                                                     : learnt;
+  older->record.state = BL_STATE_LEFT;
+  index_target (fleet, older);
 }
 
 struct bl_target *
@@ -115,6 +239,7 @@
     t->warm_ms = now;
   if (record->state < BL_STATE_LEFT)
     retire_older (fleet, t);
+  index_target (fleet, t);
   return t->record.state < BL_STATE_LEFT ? t : NULL;
 }
 
@@ -209,6 +334,7 @@
 {
   return !fleet->blind;
 }
+
 struct bl_addr
 bl_target_data (const struct bl_target *target)
 {
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -7,6 +7,26 @@
 
 #include <uthash.h>
 
+struct bl_target;
+
+/* An address of an instance, to find it by what it sends.  */
+struct bl_place
+{
+  uint64_t key; /* 0: not in the table */
+  struct bl_target *target;
+  UT_hash_handle hh;
+};
+
+/* The agents of a service that have not left.  */
+struct bl_servers
+{
+  uint64_t service; /* hash of its name */
+  size_t count;
+  size_t cap;
+  struct bl_target **items; /* owned */
+  UT_hash_handle hh;
+};
+
 /* An instance: an agent with its backend server, or another balancer.  */
 struct bl_target
 {
@@ -25,7 +45,11 @@
   uint32_t busy;
   uint32_t flows;
   uint32_t placed;
-  uint64_t warm_ms; /* since when it takes new flows; 0: not yet seen to */
+  uint64_t warm_ms;     /* since when it takes new flows; 0: not yet seen to */
+  struct bl_place data; /* where its packets come from */
+  struct bl_place control;    /* and its messages */
+  struct bl_servers *servers; /* that it is among; NULL: none */
+  size_t position;            /* in these */
   UT_hash_handle hh;
 };
 
@@ -39,8 +63,10 @@
 
 struct bl_fleet
 {
-  struct bl_store *store;    /* owned */
-  struct bl_target *targets; /* owned; by name */
+  struct bl_store *store;      /* owned */
+  struct bl_target *targets;   /* owned; by name */
+  struct bl_place *places;     /* of those that have not left */
+  struct bl_servers *services; /* owned */
   size_t backend_count;
   size_t dark_count;    /* agents that count as gone */
   size_t suspect_count; /* agents that leave a question open */
@@ -60,6 +86,9 @@
 /* The target whose packets or messages come from ADDR, or NULL.  */
 struct bl_target *bl_fleet_at (const struct bl_fleet *fleet,
                                struct bl_addr addr);
+/* The agents of a service, or NULL when none was ever known.  */
+const struct bl_servers *bl_fleet_servers (const struct bl_fleet *fleet,
+                                           uint64_t service);
 /* Whether TARGET is silent for good, as far as can be told: dark, and not on
    its way back from a stop that it announced.  */
 bool bl_target_is_gone (const struct bl_target *target, uint64_t now);
