Offer packets of unknown flows first to those they can have been placed at

Cause: after all balancers and agents were killed, agents cannot tell which flows their servers hold, and packets were offered to six agents at a time in no order: 156 ms on average until an owner was found at 90 machines, 526 ms at most, and 2,400 packets dropped in 6 s. The server's answer did not help, for the agent had not noted who had offered the packet. Ruled out: slow starts (all processes ran 0.3 s after the kill), agents' links, one more round of asking (the answers come in 10 ms). Change: candidates of a new flow are drawn by rendezvous instead of at random, so a balancer that knows nothing offers a packet first to the five that the flow was drawn from. An agent that cannot tell notes who offered a packet and claims the flow as soon as its server answers.

--- a/core/dispatch_choose.c
+++ b/core/dispatch_choose.c
@@ -4,16 +4,17 @@
    balancers that each see a part of the load, servers that have just started.
 
    The candidates are the ready agents of the service that were not offered the
-   flow yet.  The policy in force, near_and_light, draws a few, in the own data
-   centre before others, and takes the one that bears least for its slots: its
-   share of the work under way plus its share of the open flows, as last
-   reported, plus what was placed there since.  One of another data centre is
-   taken only if it is less crowded by REMOTE_FACTOR, or if the near one has no
-   slot free, so traffic stays near while there is room.  The other two
-   are what it is measured against (boragelatch-emulate).  */
+   flow yet.  The policy in force, near_and_light, draws a few by rendezvous, in
+   the own data centre before others, and takes the one that bears least for its
+   slots: its share of the work under way plus its share of the open flows, as
+   last reported, plus what was placed there since.  One of another data centre
+   is taken only if it is less crowded by REMOTE_FACTOR, or if the near one has
+   no slot free, so traffic stays near while there is room.  The other two are
+   what it is measured against (boragelatch-emulate).  */
 
 #include "core/dispatch_inner.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 #define DRAW_NEAR     3    /* candidates drawn in the own data centre */
@@ -105,30 +106,116 @@
   return bl_name_equal (&t->record.dc, &d->settings.self.dc);
 }
 
-/* Draws up to MAX of those near or far, and keeps the least burdened.  */
+/* The order in which agents are drawn for a flow: by rendezvous, so that it is
+   the same at every balancer, and after a start that knows nothing.  */
+static uint64_t
+rank_of (const struct bl_target *t, uint64_t flow_hash)
+{
+  uint64_t x = t->id_hash ^ flow_hash;
+
+  x = (x ^ x >> 30) * 0xbf58476d1ce4e5b9u;
+  x = (x ^ x >> 27) * 0x94d049bb133111ebu;
+  return x ^ x >> 31;
+}
+
+struct ranked
+{
+  uint64_t rank;
+  bool near;
+  struct bl_target *target;
+};
+
+/* Near ones before others, each by rank.  */
+static int
+compare_ranked (const void *a, const void *b)
+{
+  const struct ranked *x = a;
+  const struct ranked *y = b;
+
+  if (x->near != y->near)
+    return x->near ? -1 : 1;
+  return x->rank > y->rank ? -1 : x->rank < y->rank;
+}
+
+/* Moves the first far ones to where the drawn near ones end.  */
+static void
+put_drawn_first (struct ranked *all, size_t count, size_t near)
+{
+  for (size_t i = 0; i < DRAW_FAR && near > DRAW_NEAR && near + i < count; i++)
+    {
+      struct ranked far = all[near + i];
+      size_t to = DRAW_NEAR + i;
+      memmove (&all[to + 1], &all[to], (near + i - to) * sizeof *all);
+      all[to] = far;
+    }
+}
+
+size_t
+bl_choice_agents (const struct bl_dispatch *d,
+                  const struct bl_flow_key *key,
+                  uint64_t service,
+                  struct bl_target **out,
+                  size_t max)
+{
+  static struct ranked all[CANDIDATES];
+  const struct bl_servers *servers = bl_fleet_servers (&d->fleet, service);
+  uint64_t flow_hash = bl_flow_hash (key);
+  size_t count = 0;
+  size_t near = 0;
+
+  for (size_t i = 0; servers != NULL && i < servers->count; i++)
+    {
+      struct bl_target *t = servers->items[i];
+      if (count == CANDIDATES || count == max)
+        break;
+      all[count++]
+          = (struct ranked){ rank_of (t, flow_hash), is_near (d, t), t };
+      near += is_near (d, t) ? 1 : 0;
+    }
+  qsort (all, count, sizeof *all, compare_ranked);
+  put_drawn_first (all, count, near);
+  for (size_t i = 0; i < count; i++)
+    out[i] = all[i].target;
+  return count;
+}
+
+/* Draws the MAX first of those near or far, and keeps the least burdened.  */
 static struct bl_target *
-draw (struct bl_dispatch *d,
+draw (const struct bl_dispatch *d,
       const struct candidates *c,
+      uint64_t flow_hash,
       bool near,
-      size_t max,
-      double *least)
+      size_t max)
 {
+  struct bl_target *drawn[DRAW_NEAR];
+  uint64_t ranks[DRAW_NEAR];
   struct bl_target *best = NULL;
-  uint32_t start = bl_random_below (&d->random, (uint32_t)c->count);
-  size_t drawn = 0;
+  double least = 0;
+  size_t count = 0;
 
-  for (size_t i = 0; i < c->count && drawn < max; i++)
+  for (size_t i = 0; i < c->count; i++)
     {
-      struct bl_target *t = c->items[(start + i) % c->count];
-      double bears;
-      if (is_near (d, t) != near)
+      uint64_t rank = rank_of (c->items[i], flow_hash);
+      size_t at;
+      if (is_near (d, c->items[i]) != near
+          || (count == max && rank <= ranks[count - 1]))
         continue;
-      drawn++;
-      bears = burden (d, t, &c->totals);
-      if (best != NULL && bears >= *least)
+      at = count < max ? count++ : max - 1;
+      for (; at > 0 && ranks[at - 1] < rank; at--)
+        {
+          ranks[at] = ranks[at - 1];
+          drawn[at] = drawn[at - 1];
+        }
+      ranks[at] = rank;
+      drawn[at] = c->items[i];
+    }
+  for (size_t i = 0; i < count; i++)
+    {
+      double bears = burden (d, drawn[i], &c->totals);
+      if (best != NULL && bears >= least)
         continue;
-      best = t;
-      *least = bears;
+      best = drawn[i];
+      least = bears;
     }
   return best;
 }
@@ -166,17 +253,17 @@
 choose_near_and_light (struct bl_dispatch *d, const struct bl_passing *f)
 {
   static struct candidates c;
+  uint64_t flow_hash = bl_flow_hash (&f->key);
   struct bl_target *near;
   struct bl_target *far;
-  double least = 0;
 
   collect (d, f, false, &c);
   if (c.count == 0)
     collect (d, f, true, &c);
   if (c.count == 0)
     return NULL;
-  near = draw (d, &c, true, DRAW_NEAR, &least);
-  far = draw (d, &c, false, DRAW_FAR, &least);
+  near = draw (d, &c, flow_hash, true, DRAW_NEAR);
+  far = draw (d, &c, flow_hash, false, DRAW_FAR);
   if (near == NULL || far == NULL)
     return near != NULL ? near : far;
   return is_worth_its_way (d, far, near) ? far : near;
--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -139,6 +139,13 @@
 
 /* dispatch_choose.c */
 const struct bl_choice *bl_dispatch_choice (const struct bl_dispatch *d);
+/* Up to MAX agents of a service; first those that a new flow of KEY would be
+   drawn from.  Returns how many.  */
+size_t bl_choice_agents (const struct bl_dispatch *d,
+                         const struct bl_flow_key *key,
+                         uint64_t service,
+                         struct bl_target **out,
+                         size_t max);
 
 /* dispatch.c */
 /* A new flow, or NULL when there is no room.  */
--- a/core/dispatch_inquiry.c
+++ b/core/dispatch_inquiry.c
@@ -22,10 +22,11 @@
 
 #include <stdlib.h>
 
-#define INQUIRY_MS 180 /* callers send again after 200 ms */
-#define PROBE_FAN  6   /* agents that have the packet at the same time */
-#define PROBE_MS   50  /* until a backend server would have returned it */
-#define ACK_WINDOW (1u << 20) /* sequence numbers of one flow lie within it */
+#define INQUIRY_MS  180 /* callers send again after 200 ms */
+#define PROBE_FAN   6   /* agents that have the packet at the same time */
+#define PROBE_MS    50  /* until a backend server would have returned it */
+#define ORDERED_MAX 512 /* agents of a service; further ones in any order */
+#define ACK_WINDOW  (1u << 20) /* sequence numbers of one flow lie within it */
 
 static bool
 was_asked (const struct bl_inquiry *q, const struct bl_target *t)
@@ -68,24 +69,39 @@
   d->ops.to_agent (d->ctx, bl_target_data (t), &link, NULL, 0);
 }
 
-/* Asks the agents of the route's services, or all that were not asked yet:
-   routes may have changed meanwhile, and instances have come.  Returns how
-   many.
- */
+/* Asks the agents of a service, in the order in which the packet will be
+   offered to them if they cannot tell.  */
+static void
+ask_service (struct bl_dispatch *d, struct bl_passing *f, uint64_t service)
+{
+  static struct bl_target *agents[ORDERED_MAX];
+  const struct bl_servers *servers = bl_fleet_servers (&d->fleet, service);
+  size_t count = bl_choice_agents (d, &f->key, service, agents, ORDERED_MAX);
+
+  for (size_t i = 0; i < count; i++)
+    ask (d, f, agents[i]);
+  if (servers != NULL && servers->count > count)
+    for (size_t i = 0; i < servers->count; i++)
+      ask (d, f, servers->items[i]);
+}
+
+/* Asks the agents of the route's services, first of the one that a new flow
+   would go to; or all that were not asked yet: routes may have changed
+   meanwhile, and instances have come.  Returns how many.  */
 static size_t
 ask_route (struct bl_dispatch *d, struct bl_passing *f)
 {
   const struct bl_table_route *route
       = bl_table_find (d->table, f->key.dst_ip, f->key.dst_port);
+  const struct bl_split *first
+      = route != NULL ? bl_table_split (route, bl_flow_hash (&f->key)) : NULL;
   size_t before = f->inquiry.count;
 
+  if (first != NULL)
+    ask_service (d, f, first->service_hash);
   for (size_t s = 0; route != NULL && s < route->split_count; s++)
-    {
-      const struct bl_servers *servers
-          = bl_fleet_servers (&d->fleet, route->splits[s].service_hash);
-      for (size_t i = 0; servers != NULL && i < servers->count; i++)
-        ask (d, f, servers->items[i]);
-    }
+    if (&route->splits[s] != first)
+      ask_service (d, f, route->splits[s].service_hash);
   return f->inquiry.count - before;
 }
 
@@ -97,8 +113,7 @@
   struct bl_servers *next;
 
   HASH_ITER (hh, d->fleet.services, servers, next)
-  for (size_t i = 0; i < servers->count; i++)
-    ask (d, f, servers->items[i]);
+  ask_service (d, f, servers->service);
   return f->inquiry.count - before;
 }
 
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -191,6 +191,7 @@
   if (t == NULL)
     return NULL;
   t->id = record->id;
+  t->id_hash = bl_name_hash (&record->id, 0);
   HASH_ADD (hh, fleet->targets, id, sizeof t->id, t);
   return t;
 }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -31,6 +31,7 @@
 struct bl_target
 {
   struct bl_name id;
+  uint64_t id_hash;
   struct bl_record record;
   uint64_t service;  /* hash of its service's name */
   uint64_t born;     /* start of the backend server; 0: not known */
--- a/core/pass.c
+++ b/core/pass.c
@@ -351,6 +351,17 @@
   deliver (p, from, packet, bytes, len);
 }
 
+/* Whether flows may be held that this process, younger than they, has not
+   seen.  */
+static bool
+is_unsure (const struct bl_pass *p)
+{
+  if (p->self.state >= BL_STATE_LEFT || p->left || p->watched || p->together)
+    return false;
+  /* A message may come before the first tick.  */
+  return p->started_ms == 0 || p->now - p->started_ms < UNSURE_MS;
+}
+
 static void
 on_later (struct bl_pass *p,
           struct bl_addr from,
@@ -360,7 +371,15 @@
 {
   struct bl_pass_flow *f = find (p, &packet->key);
 
-  if (f != NULL)
+  /* A flow from before the start, perhaps: whoever offered the packet hears
+     when the backend server answers it, and a returned one is forgotten.  */
+  if (f == NULL && is_unsure (p))
+    {
+      f = get (p, &packet->key);
+      if (f != NULL)
+        f->asker = from;
+    }
+  else if (f != NULL)
     {
       f->touched_ms = p->now;
       f->told = f->told && bl_addr_equal (f->asker, from);
@@ -399,17 +418,6 @@
     on_later (p, from, packet, bytes, len);
 }
 
-/* Whether flows may be held that this process, younger than they, has not
-   seen.  */
-static bool
-is_unsure (const struct bl_pass *p)
-{
-  if (p->self.state >= BL_STATE_LEFT || p->left || p->watched || p->together)
-    return false;
-  /* A message may come before the first tick.  */
-  return p->started_ms == 0 || p->now - p->started_ms < UNSURE_MS;
-}
-
 static void
 on_query (struct bl_pass *p, struct bl_addr from, const struct bl_link *query)
 {
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -772,6 +772,88 @@
     }
 }
 
+/* -- agents that cannot tell -- */
+
+#define ORDER_AGENTS 30
+#define ORDER_FLOWS  50
+
+/* Who was sent packets of flows.  */
+struct offered
+{
+  struct seen seen; /* first, as the other calls take it */
+  size_t count;
+  uint32_t ips[ORDER_AGENTS];
+};
+
+static void
+note_offer (void *ctx,
+            struct bl_addr to,
+            const struct bl_link *link,
+            const uint8_t *packet,
+            size_t len)
+{
+  struct offered *o = ctx;
+
+  (void)packet;
+  (void)len;
+  if (link->type == BL_LINK_PACKET && o->count < ORDER_AGENTS)
+    o->ips[o->count++] = to.ip;
+}
+
+static struct bl_dispatch *
+balancer_of_many (struct offered *offered)
+{
+  struct bl_dispatch_ops ops = step_ops;
+  struct bl_dispatch_settings settings
+      = { .self = { .kind = BL_KIND_MEMBER, .ip = 1 }, .random_seed = SEED };
+  struct bl_dispatch *d;
+
+  ops.to_agent = note_offer;
+  bl_name_set (&settings.self.id, bl_str_of ("b"));
+  bl_name_set (&settings.self.dc, bl_str_of ("dc"));
+  d = bl_dispatch_new (&settings, &ops, offered);
+  bl_dispatch_configure (d, 1, one_route (1, "s", NULL));
+  for (uint32_t ip = 11; ip < 11 + ORDER_AGENTS; ip++)
+    learn_agent (d, 10, ip, "s");
+  return d;
+}
+
+/* All balancers and agents have started anew, knowing nothing.  A packet of an
+   open flow is offered first to those that it can have been placed at.  */
+static void
+test_likely_owners_first (void **state)
+{
+  (void)state;
+  for (uint16_t port = 1024; port < 1024 + ORDER_FLOWS; port++)
+    {
+      struct bl_flow_key key = { 1, step_key.dst_ip, port, step_key.dst_port };
+      struct bl_packet first = { .key = key, .flags = BL_TCP_SYN };
+      struct bl_packet later
+          = { .key = key, .flags = BL_TCP_ACK, .payload_len = 10 };
+      struct offered before = { .count = 0 };
+      struct offered after = { .count = 0 };
+      struct bl_dispatch *d = balancer_of_many (&before);
+      bool among = false;
+      bl_dispatch_packet (d, 20, &first, (const uint8_t *)&first, sizeof first);
+      bl_dispatch_free (d);
+      assert_int_equal (before.count, 1);
+      d = balancer_of_many (&after);
+      bl_dispatch_packet (d, 20, &later, (const uint8_t *)&later, sizeof later);
+      for (uint32_t ip = 11; ip < 11 + ORDER_AGENTS; ip++)
+        {
+          struct bl_link link
+              = { .type = BL_LINK_UNSURE, .key = key, .incarnation = 1 };
+          bl_dispatch_link (d, 21, (struct bl_addr){ ip, 1 }, &link, NULL, NULL,
+                            0);
+        }
+      assert_in_range (after.count, 1, ORDER_AGENTS / 2);
+      for (size_t i = 0; i < after.count; i++)
+        among = among || after.ips[i] == before.ips[0];
+      assert_true (among);
+      bl_dispatch_free (d);
+    }
+}
+
 /* Once it knows all, the caller is told at once.  */
 static void
 test_denials_of_all (void **state)
@@ -1008,6 +1090,7 @@
     cmocka_unit_test (test_denials_before_first_tick),
     cmocka_unit_test (test_agreement),
     cmocka_unit_test (test_pulls),
+    cmocka_unit_test (test_likely_owners_first),
     cmocka_unit_test (test_denials_of_all),
     cmocka_unit_test (test_faults),
     cmocka_unit_test (test_many_uninformed),
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -394,6 +394,39 @@
     }
 }
 
+/* An agent that started after its server cannot tell whether that holds a flow.
+   The server's answer does, and whoever offered the packet is told; a packet
+   that comes back leaves nothing behind.  */
+static void
+test_server_answers_after_restart (void **state)
+{
+  struct bl_packet p
+      = { .key = { 1, 2, 3, 4 }, .flags = BL_TCP_ACK, .payload_len = 10 };
+  struct bl_link link = { .type = BL_LINK_PACKET, .key = { 1, 2, 3, 4 } };
+  struct step older = { READY, INCARNATION - 60000, 50 };
+
+  (void)state;
+  for (int holds = 0; holds < 2; holds++)
+    {
+      struct seen seen = { .delivered = 0 };
+      struct bl_pass *agent = new_agent (&seen);
+      take_step (agent, 5, &older);
+      link.service = bl_name_hash (&bl_pass_record (agent)->service, 0);
+      bl_pass_link (agent, 10, (struct bl_addr){ 9, 1 }, &link, &p,
+                    (const uint8_t *)&p, sizeof p);
+      assert_int_equal (seen.delivered, 1);
+      assert_int_equal (bl_pass_busy (agent), 0);
+      if (holds)
+        bl_pass_outgoing (agent, 30, &p, (const uint8_t *)&p, sizeof p);
+      else
+        bl_pass_returned (agent, 12, &p, 1, (const uint8_t *)&p, sizeof p);
+      assert_int_equal (seen.last.type,
+                        holds ? BL_LINK_OWNED : BL_LINK_UNKNOWN);
+      assert_int_equal (bl_pass_flow_count (agent), (size_t)holds);
+      bl_pass_free (agent);
+    }
+}
+
 /* A record of a later start for the own address is held elsewhere: from before
    the clock was set back, or of an instance that was at the address.  */
 static void
@@ -543,6 +576,7 @@
     cmocka_unit_test (test_first_packets),
     cmocka_unit_test (test_crowded),
     cmocka_unit_test (test_who_may_deny),
+    cmocka_unit_test (test_server_answers_after_restart),
     cmocka_unit_test (test_outdoes_later_start),
     cmocka_unit_test (test_asked_before_first_tick),
     cmocka_unit_test (test_flows),
