Share the roles' lock, outcomes of the emulator and kinds of its steps

Change: daemon_lock on the first member of a role, em_all and em_add_outcome, one function for steps that befall a share. Left: socket set-up of the roles, the stand-ins' two stores, tables of tests.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -63,7 +63,7 @@
 static void
 leave_place (struct bl_fleet *fleet, struct bl_place *p)
 {
-  if (p->key == 0)
+  if (p->key == 0 || fleet->places == NULL)
     return;
   HASH_DELETE (hh, fleet->places, p);
   p->key = 0;
--- a/daemon/balancer.c
+++ b/daemon/balancer.c
@@ -30,6 +30,7 @@
 
 struct balancer
 {
+  struct daemon_lock lock; /* first: found from the context */
   const struct settings *settings;
   struct io_loop *loop;
   struct bl_node *node;
@@ -39,26 +40,11 @@
   struct io_batch *batch;
   struct balancer_socket data;
   struct balancer_socket control;
-  pthread_mutex_t mutex;
   uint64_t packet_ms;   /* of the last packet */
   uint64_t stopping_ms; /* since when; 0: not */
   uint8_t datagram[DATAGRAM_CAP];
 };
 
-static void
-lock (void *ctx)
-{
-  struct balancer *b = ctx;
-  pthread_mutex_lock (&b->mutex);
-}
-
-static void
-unlock (void *ctx)
-{
-  struct balancer *b = ctx;
-  pthread_mutex_unlock (&b->mutex);
-}
-
 /* -- packets -- */
 
 static void
@@ -147,9 +133,9 @@
   struct balancer *b = ctx;
   bool wanted;
 
-  lock (b);
+  daemon_lock (b);
   wanted = bl_node_is_relay (b->node);
-  unlock (b);
+  daemon_unlock (b);
   return wanted;
 }
 
@@ -159,9 +145,9 @@
   struct balancer *b = ctx;
   uint64_t version;
 
-  lock (b);
+  daemon_lock (b);
   version = bl_config_version (bl_node_config (b->node));
-  unlock (b);
+  daemon_unlock (b);
   return version;
 }
 
@@ -175,9 +161,9 @@
   struct balancer *b = ctx;
   int err;
 
-  lock (b);
+  daemon_lock (b);
   err = bl_node_configure (b->node, from, up_to, services, count);
-  unlock (b);
+  daemon_unlock (b);
   return err;
 }
 
@@ -305,8 +291,8 @@
   .metrics = admin_metrics,
   .status = admin_status,
   .drain = admin_drain,
-  .lock = lock,
-  .unlock = unlock,
+  .lock = daemon_lock,
+  .unlock = daemon_unlock,
 };
 
 /* -- life -- */
@@ -425,10 +411,10 @@
   if (b == NULL)
     return 1;
   b->settings = settings;
-  pthread_mutex_init (&b->mutex, NULL);
+  pthread_mutex_init (&b->lock.mutex, NULL);
   if (open_all (b) == 0)
     {
-      io_loop_set_lock (b->loop, lock, unlock, b);
+      io_loop_set_lock (b->loop, daemon_lock, daemon_unlock, b);
       io_loop_set_tick (b->loop, TICK_MS, on_tick, b);
       io_log (IO_INFO, "started", "role=balancer id=%s dc=%s", settings->id.s,
               settings->dc.s);
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -7,6 +7,8 @@
 #include "daemon/settings.h"
 #include "io/io.h"
 
+#include <pthread.h>
+
 /* Each runs its role until it is stopped; returns the exit status.  */
 int balancer_run (const struct settings *settings);
 int agent_run (const struct settings *settings);
@@ -19,6 +21,16 @@
 /* True once after each SIGHUP.  */
 bool daemon_reloading (void);
 
+/* What a role's threads share.  The first member of a role, whose address is
+   what daemon_lock and daemon_unlock are given.  */
+struct daemon_lock
+{
+  pthread_mutex_t mutex;
+};
+
+void daemon_lock (void *role);
+void daemon_unlock (void *role);
+
 /* Opens a UDP socket on IP and PORT and adds it to LOOP as SOURCE; a failure is
    logged.  0, or -1.  */
 int daemon_open_udp (struct io_loop *loop,
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -48,6 +48,7 @@
 
 struct dispatcher
 {
+  struct daemon_lock lock; /* first: found from the context */
   const struct settings *settings;
   struct io_loop *loop;
   struct bl_dispatch *core;
@@ -62,7 +63,6 @@
   struct dispatcher_socket packets;
   struct dispatcher_socket links;
   struct dispatcher_socket control;
-  pthread_mutex_t mutex;
   char *routes_text;    /* owned; of the table in force */
   uint64_t packet_ms;   /* of the last packet of a caller */
   uint64_t stopping_ms; /* since when; 0: not */
@@ -71,20 +71,6 @@
   uint8_t datagram[DATAGRAM_CAP];
 };
 
-static void
-lock (void *ctx)
-{
-  struct dispatcher *d = ctx;
-  pthread_mutex_lock (&d->mutex);
-}
-
-static void
-unlock (void *ctx)
-{
-  struct dispatcher *d = ctx;
-  pthread_mutex_unlock (&d->mutex);
-}
-
 /* -- packets -- */
 
 static void
@@ -252,9 +238,9 @@
   if (text == NULL || name.len != strlen (PLATFORM_CONFIG_NAME)
       || memcmp (name.ptr, PLATFORM_CONFIG_NAME, name.len) != 0)
     return;
-  lock (d);
+  daemon_lock (d);
   take_routes (d, bl_str_of (text), "store");
-  unlock (d);
+  daemon_unlock (d);
 }
 
 static void
@@ -263,9 +249,9 @@
   struct dispatcher *d = ctx;
   char source[BL_ADDR_TEXT_MAX];
 
-  lock (d);
+  daemon_lock (d);
   take_routes (d, text, bl_addr_format (from, source));
-  unlock (d);
+  daemon_unlock (d);
 }
 
 /* Other balancers read the routes here.  */
@@ -300,9 +286,9 @@
               (int)name.len, name.ptr, revision);
       return;
     }
-  lock (d);
+  daemon_lock (d);
   bl_dispatch_learn (d->core, io_now_ms (), &record);
-  unlock (d);
+  daemon_unlock (d);
 }
 
 static void
@@ -310,9 +296,9 @@
 {
   struct dispatcher *d = ctx;
 
-  lock (d);
+  daemon_lock (d);
   bl_dispatch_listed (d->core, io_now_ms ());
-  unlock (d);
+  daemon_unlock (d);
 }
 
 static const struct follower_ops routes_ops = { .visit = on_routes_object };
@@ -425,8 +411,8 @@
   .metrics = admin_metrics,
   .status = admin_status,
   .drain = admin_drain,
-  .lock = lock,
-  .unlock = unlock,
+  .lock = daemon_lock,
+  .unlock = daemon_unlock,
 };
 
 /* -- life -- */
@@ -628,10 +614,10 @@
   if (d == NULL)
     return 1;
   d->settings = settings;
-  pthread_mutex_init (&d->mutex, NULL);
+  pthread_mutex_init (&d->lock.mutex, NULL);
   if (open_all (d) == 0)
     {
-      io_loop_set_lock (d->loop, lock, unlock, d);
+      io_loop_set_lock (d->loop, daemon_lock, daemon_unlock, d);
       io_loop_set_tick (d->loop, TICK_MS, on_tick, d);
       io_log (IO_INFO, "started",
               "role=balancer transport=datagram id=%s dc=%s address=%s "
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -21,6 +21,18 @@
     stopping = 1;
 }
 
+void
+daemon_lock (void *role)
+{
+  pthread_mutex_lock (&((struct daemon_lock *)role)->mutex);
+}
+
+void
+daemon_unlock (void *role)
+{
+  pthread_mutex_unlock (&((struct daemon_lock *)role)->mutex);
+}
+
 bool
 daemon_stopping (void)
 {
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -35,6 +35,7 @@
 
 struct passthrough
 {
+  struct daemon_lock lock; /* first: found from the context */
   const struct settings *settings;
   struct io_loop *loop;
   struct bl_pass *core;
@@ -47,26 +48,11 @@
   struct passthrough_socket control;
   struct passthrough_socket check; /* fd 0: none under way */
   uint64_t check_ms;
-  pthread_mutex_t mutex;
   uint64_t stopping_ms;
   uint64_t malformed;
   uint8_t datagram[DATAGRAM_CAP];
 };
 
-static void
-lock (void *ctx)
-{
-  struct passthrough *p = ctx;
-  pthread_mutex_lock (&p->mutex);
-}
-
-static void
-unlock (void *ctx)
-{
-  struct passthrough *p = ctx;
-  pthread_mutex_unlock (&p->mutex);
-}
-
 /* -- packets -- */
 
 static void
@@ -370,8 +356,8 @@
   .metrics = admin_metrics,
   .status = admin_status,
   .drain = admin_drain,
-  .lock = lock,
-  .unlock = unlock,
+  .lock = daemon_lock,
+  .unlock = daemon_unlock,
 };
 
 /* -- life -- */
@@ -504,10 +490,10 @@
   if (p == NULL)
     return 1;
   p->settings = settings;
-  pthread_mutex_init (&p->mutex, NULL);
+  pthread_mutex_init (&p->lock.mutex, NULL);
   if (open_all (p) == 0)
     {
-      io_loop_set_lock (p->loop, lock, unlock, p);
+      io_loop_set_lock (p->loop, daemon_lock, daemon_unlock, p);
       io_loop_set_tick (p->loop, TICK_MS, on_tick, p);
       io_log (IO_INFO, "started",
               "role=agent transport=datagram id=%s dc=%s address=%s record=%s",
--- a/emulator/emulator.h
+++ b/emulator/emulator.h
@@ -98,6 +98,10 @@
   struct em_times times[EM_CLASSES_MAX];
 };
 
+void em_add_outcome (struct em_outcome *sum, const struct em_outcome *one);
+/* Of all classes together.  */
+struct em_outcome em_all (const struct em_totals *totals);
+
 struct em;
 
 struct em *em_new (const struct em_settings *settings);
--- a/emulator/emulator_callers.c
+++ b/emulator/emulator_callers.c
@@ -99,6 +99,26 @@
   return 0;
 }
 
+void
+em_add_outcome (struct em_outcome *sum, const struct em_outcome *one)
+{
+  sum->asked += one->asked;
+  sum->in_time += one->in_time;
+  sum->late += one->late;
+  sum->failed += one->failed;
+  sum->refused += one->refused;
+}
+
+struct em_outcome
+em_all (const struct em_totals *totals)
+{
+  struct em_outcome all = { .asked = 0 };
+
+  for (size_t i = 0; i < EM_CLASSES_MAX; i++)
+    em_add_outcome (&all, &totals->classes[i]);
+  return all;
+}
+
 enum result
 {
   IN_TIME,
--- a/emulator/experiment.c
+++ b/emulator/experiment.c
@@ -36,40 +36,14 @@
   em_power_off (em, step->for_ms);
 }
 
+/* Befalls a share of balancers or of servers.  */
 static void
-step_kill_balancers (struct em *em, const struct experiment_step *step)
+step_each (struct em *em, const struct experiment_step *step)
 {
-  size_t n = share_of (step->x, em_balancer_count (em));
+  size_t n = share_of (step->x, step->count (em));
 
   for (size_t i = 0; i < n; i++)
-    em_kill_balancer (em, i, step->for_ms);
-}
-
-static void
-step_kill_agents (struct em *em, const struct experiment_step *step)
-{
-  size_t n = share_of (step->x, em_server_count (em));
-
-  for (size_t i = 0; i < n; i++)
-    em_kill_agent (em, i, step->for_ms);
-}
-
-static void
-step_crash_servers (struct em *em, const struct experiment_step *step)
-{
-  size_t n = share_of (step->x, em_server_count (em));
-
-  for (size_t i = 0; i < n; i++)
-    em_crash_server (em, i, step->for_ms);
-}
-
-static void
-step_cut_servers (struct em *em, const struct experiment_step *step)
-{
-  size_t n = share_of (step->x, em_server_count (em));
-
-  for (size_t i = 0; i < n; i++)
-    em_cut_server (em, i, step->for_ms);
+    step->each (em, i, step->for_ms);
 }
 
 /* The first third of the servers work X times as long.  */
@@ -94,15 +68,17 @@
   void (*run) (struct em *em, const struct experiment_step *step);
   double x_max; /* of "x"; 0: none is read */
   bool timed;   /* "for_ms" is read */
+  size_t (*count) (const struct em *em);
+  void (*each) (struct em *em, size_t index, uint64_t for_ms);
 } kinds[] = {
-  { "press", step_press, 20, false },
-  { "power_off", step_power_off, 0, true },
-  { "kill_balancers", step_kill_balancers, 1, true },
-  { "kill_agents", step_kill_agents, 1, true },
-  { "crash_servers", step_crash_servers, 1, true },
-  { "cut_servers", step_cut_servers, 1, true },
-  { "slow_servers", step_slow_servers, 100, false },
-  { "store", step_store, 1, false },
+  { "press", step_press, 20, false, NULL, NULL },
+  { "power_off", step_power_off, 0, true, NULL, NULL },
+  { "kill_balancers", step_each, 1, true, em_balancer_count, em_kill_balancer },
+  { "kill_agents", step_each, 1, true, em_server_count, em_kill_agent },
+  { "crash_servers", step_each, 1, true, em_server_count, em_crash_server },
+  { "cut_servers", step_each, 1, true, em_server_count, em_cut_server },
+  { "slow_servers", step_slow_servers, 100, false, NULL, NULL },
+  { "store", step_store, 1, false, NULL, NULL },
 };
 
 /* -- reading -- */
@@ -295,6 +271,8 @@
         continue;
       step->at_ms = read_count (r, item, "at_ms", 0, MS_MAX);
       step->run = kinds[i].run;
+      step->count = kinds[i].count;
+      step->each = kinds[i].each;
       if (kinds[i].x_max > 0)
         step->x = read_real (r, item, "x", 0, kinds[i].x_max);
       if (kinds[i].timed)
@@ -364,27 +342,17 @@
 
 /* -- running -- */
 
-static void
-add_outcome (struct em_outcome *sum, const struct em_outcome *one)
-{
-  sum->asked += one->asked;
-  sum->in_time += one->in_time;
-  sum->late += one->late;
-  sum->failed += one->failed;
-  sum->refused += one->refused;
-}
-
 static void
 add_totals (struct em_totals *sum, const struct em_totals *one)
 {
   for (size_t i = 0; i < EM_CLASSES_MAX; i++)
     {
-      add_outcome (&sum->classes[i], &one->classes[i]);
+      em_add_outcome (&sum->classes[i], &one->classes[i]);
       for (size_t t = 0; t < EM_TIMES; t++)
         sum->times[i].counts[t] += one->times[i].counts[t];
     }
   for (size_t i = 0; i < EM_BUCKETS_MAX; i++)
-    add_outcome (&sum->seconds[i], &one->seconds[i]);
+    em_add_outcome (&sum->seconds[i], &one->seconds[i]);
   sum->broken += one->broken;
   sum->twice += one->twice;
   sum->wrong_service += one->wrong_service;
@@ -399,7 +367,7 @@
 
 /* Of the service with most servers.  */
 static double
-imbalance_of (const struct em *em, const struct experiment *e)
+imbalance_of (const struct em *em)
 {
   uint64_t most = 0;
   uint64_t all = 0;
@@ -414,7 +382,6 @@
       all += runs;
       count++;
     }
-  (void)e;
   return all > 0 ? (double)most * (double)count / (double)all : 0;
 }
 
@@ -461,9 +428,8 @@
   if (em == NULL)
     return;
   add_totals (&result->totals, em_totals (em));
-  result->imbalance
-      = (result->imbalance * result->runs + imbalance_of (em, experiment))
-        / (result->runs + 1);
+  result->imbalance = (result->imbalance * result->runs + imbalance_of (em))
+                      / (result->runs + 1);
   result->runs++;
   em_free (em);
 }
--- a/emulator/experiment.h
+++ b/emulator/experiment.h
@@ -15,6 +15,9 @@
 {
   uint64_t at_ms;
   void (*run) (struct em *em, const struct experiment_step *step);
+  /* What it does to each of them, and how many there are; NULL: to none.  */
+  size_t (*count) (const struct em *em);
+  void (*each) (struct em *em, size_t index, uint64_t for_ms);
   double x; /* factor, or share of those that it befalls */
   uint64_t for_ms;
 };
--- a/emulator/report.c
+++ b/emulator/report.c
@@ -11,22 +11,6 @@
 
 static const double shares[] = { 0.5, 0.99, 0.999 };
 
-static struct em_outcome
-all_of (const struct em_totals *t)
-{
-  struct em_outcome all = { .asked = 0 };
-
-  for (size_t i = 0; i < EM_CLASSES_MAX; i++)
-    {
-      all.asked += t->classes[i].asked;
-      all.in_time += t->classes[i].in_time;
-      all.late += t->classes[i].late;
-      all.failed += t->classes[i].failed;
-      all.refused += t->classes[i].refused;
-    }
-  return all;
-}
-
 static double
 ratio (uint64_t part, uint64_t all)
 {
@@ -65,7 +49,7 @@
   for (size_t i = 0; i < count; i++)
     {
       const struct em_totals *t = &results[i].totals;
-      struct em_outcome all = all_of (t);
+      struct em_outcome all = em_all (t);
       printf ("%-16s %6u %8lu %7.4f %7.4f %7.4f %7.3f %7.2f %6lu %6lu %7lu "
               "%7lu\n",
               results[i].policy, results[i].runs, all.asked, served (&all),
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -227,18 +227,7 @@
 static struct em_outcome
 sum (const struct em *em)
 {
-  const struct em_totals *t = em_totals (em);
-  struct em_outcome all = { .asked = 0 };
-
-  for (size_t i = 0; i < EM_CLASSES_MAX; i++)
-    {
-      all.asked += t->classes[i].asked;
-      all.in_time += t->classes[i].in_time;
-      all.late += t->classes[i].late;
-      all.failed += t->classes[i].failed;
-      all.refused += t->classes[i].refused;
-    }
-  return all;
+  return em_all (em_totals (em));
 }
 
 static void
