Accept a server that starts again while its clock is set back

Cause, by reading: heartbeats are ordered by the server's start. After a restart with the clock set back, the new start seems earlier, every heartbeat counts as late, and the server gets no flows and no acknowledgement that it drains. Ruled out: ordering by arrival (a cut delivers late heartbeats of a former start). Change: heartbeats that name an earlier start are taken once two of them came half an interval apart while the known start was silent for three. Before/after: test_start_with_clock_set_back fails / passes; late ones that come at once, and those beside a living server, are refused as before.

--- a/core/pass_backend.c
+++ b/core/pass_backend.c
@@ -36,13 +36,29 @@
   return p->born == 0 || beat->born == 0 || p->born == beat->born;
 }
 
+/* Whether heartbeats that name an earlier start go on while those of the known
+   one have ended: the clock was set back between the two starts.  Late ones
+   that a cut held up come at once.  */
 static bool
-is_late (const struct bl_pass *p, const struct bl_heartbeat *beat)
+goes_on (struct bl_pass *p, const struct bl_heartbeat *beat)
+{
+  bool follows = beat->born == p->early_born && beat->seq > p->early_seq
+                 && p->now - p->early_ms >= p->settings.heartbeat_ms / 2;
+  bool alone = p->now - p->beat_ms > MISSED_BEATS * p->settings.heartbeat_ms;
+
+  p->early_born = beat->born;
+  p->early_seq = beat->seq;
+  p->early_ms = p->now;
+  return follows && alone;
+}
+
+static bool
+is_late (struct bl_pass *p, const struct bl_heartbeat *beat)
 {
   if (p->backend.len == 0)
     return false;
   if (beat->born != 0 && beat->born < p->born)
-    return true;
+    return !goes_on (p, beat);
   return is_same_backend (p, beat) && beat->seq <= p->beat_seq
          && beat->seq != 0;
 }
--- a/core/pass_inner.h
+++ b/core/pass_inner.h
@@ -51,6 +51,10 @@
   uint64_t born;
   uint64_t beat_seq;
   uint64_t beat_ms; /* last heartbeat; 0: none */
+  /* Last heartbeat that named an earlier start.  */
+  uint64_t early_born;
+  uint64_t early_seq;
+  uint64_t early_ms;
   bool left;
   bool watched;           /* no flow can be older than this process */
   bool together;          /* the same, for both started in one moment */
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -394,6 +394,54 @@
     }
 }
 
+/* A server starts again while the clock is set back: its start seems earlier
+   than that of the one before.  It is told from a late heartbeat by going on
+   while the other is silent.  */
+static void
+test_start_with_clock_set_back (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    uint64_t first_ms; /* when heartbeats of the earlier start come */
+    uint64_t second_ms;
+    uint64_t other_ms; /* last heartbeat of the later start */
+    int want;          /* of the second */
+  } cases[] = {
+    { "goes on alone", 5000, 6000, 1000, BL_OK },
+    { "two late ones at once", 5000, 5001, 1000, BL_ESTALE },
+    { "the other goes on", 5000, 6000, 5500, BL_ESTALE },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct seen seen = { .delivered = 0 };
+      struct bl_pass *p = new_agent (&seen);
+      struct bl_heartbeat b = { .slots = 2, .born = 9000, .seq = 1 };
+      int second;
+      bl_name_set (&b.id, bl_str_of ("i"));
+      bl_name_set (&b.service, bl_str_of ("s"));
+      assert_int_equal (bl_pass_heartbeat (p, 1000, &b), BL_OK);
+      b.born = 7000;
+      assert_int_equal (bl_pass_heartbeat (p, cases[i].first_ms, &b),
+                        BL_ESTALE);
+      if (cases[i].other_ms > 1000)
+        {
+          b.born = 9000;
+          b.seq = 2;
+          assert_int_equal (bl_pass_heartbeat (p, cases[i].other_ms, &b),
+                            BL_OK);
+        }
+      b.born = 7000;
+      b.seq = 2;
+      second = bl_pass_heartbeat (p, cases[i].second_ms, &b);
+      if (second != cases[i].want)
+        fail_msg ("%s: %d", cases[i].name, second);
+      bl_pass_free (p);
+    }
+}
+
 /* An agent that started after its server cannot tell whether that holds a flow.
    The server's answer does, and whoever offered the packet is told; a packet
    that comes back leaves nothing behind.  */
@@ -576,6 +624,7 @@
     cmocka_unit_test (test_first_packets),
     cmocka_unit_test (test_crowded),
     cmocka_unit_test (test_who_may_deny),
+    cmocka_unit_test (test_start_with_clock_set_back),
     cmocka_unit_test (test_server_answers_after_restart),
     cmocka_unit_test (test_outdoes_later_start),
     cmocka_unit_test (test_asked_before_first_tick),
