--- a/core/fleet.c
+++ b/core/fleet.c
@@ -7,7 +7,11 @@
    BL_DARK_MS makes it count as gone until it is heard again.  Both are undone
    by a single message.  While questions are open and too few agents are heard,
    this process takes itself to be cut off; what was silent meanwhile proves
-   nothing afterwards, so all questions start anew.  */
+   nothing afterwards, so all questions start anew.
+
+   Instances are found by address, which every message of theirs needs, and by
+   service, which every new flow needs, in tables that are kept as records are
+   learnt: neither grows with the fleet.  */
 
 #include "core/fleet.h"
 
