--- a/standin/wire.c
+++ b/standin/wire.c
@@ -483,6 +483,28 @@
   return bl_ip_parse (out, bl_str_of (address)) == BL_OK;
 }
 
+static bool
+open_all (struct wire *w, const char *tcp, struct bl_addr control)
+{
+  uint16_t tcp_ports[PORTS_MAX];
+  size_t tcp_count = read_ports (tcp, tcp_ports);
+
+  w->loop = io_loop_new ();
+  for (unsigned h = 1; h < w->hosts; h++)
+    {
+      for (unsigned i = 0; i < w->udp_count; i++)
+        open_udp (w, h, i);
+      for (size_t i = 0; i < tcp_count; i++)
+        open_tcp (w, h, tcp_ports[i]);
+    }
+  w->control = (struct port){ .source = { .fd = io_udp_open (&control),
+                                          .events = EPOLLIN,
+                                          .ready = on_command },
+                              .wire = w };
+  return w->control.source.fd >= 0
+         && io_loop_add (w->loop, &w->control.source) == 0;
+}
+
 int
 main (int argc, const char **argv)
 {
@@ -506,8 +528,6 @@
   };
   poptContext popt = poptGetContext (NULL, argc, argv, table, 0);
   struct bl_addr addr;
-  uint16_t tcp_ports[PORTS_MAX];
-  size_t tcp_count;
 
   if (poptGetNextOpt (popt) < -1 || inner == NULL || outer == NULL
       || control == NULL || hosts < 1 || hosts > HOSTS_MAX
@@ -517,24 +537,10 @@
       poptPrintUsage (popt, stderr, 0);
       return 1;
     }
-  wire.loop = io_loop_new ();
   wire.hosts = (unsigned)hosts;
   wire.random.state = (uint64_t)seed;
   wire.udp_count = read_ports (udp != NULL ? udp : "", wire.udp);
-  tcp_count = read_ports (tcp != NULL ? tcp : "", tcp_ports);
-  for (unsigned h = 1; h < wire.hosts; h++)
-    {
-      for (unsigned i = 0; i < wire.udp_count; i++)
-        open_udp (&wire, h, i);
-      for (size_t i = 0; i < tcp_count; i++)
-        open_tcp (&wire, h, tcp_ports[i]);
-    }
-  wire.control = (struct port){ .source = { .fd = io_udp_open (&addr),
-                                            .events = EPOLLIN,
-                                            .ready = on_command },
-                                .wire = &wire };
-  if (wire.control.source.fd < 0
-      || io_loop_add (wire.loop, &wire.control.source) != 0)
+  if (!open_all (&wire, tcp != NULL ? tcp : "", addr))
     return 1;
   io_loop_set_tick (wire.loop, TICK_MS, on_tick, &wire);
   io_loop_run (wire.loop);
