--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -120,7 +120,6 @@
   shift
   "$@" >>"$RUN/$name.out" 2>>"$RUN/$name.log" &
   PID_OF[$name]=$!
-  PIDS+=($!)
   while [ "$(readlink /proc/$!/exe)" = "$(readlink /proc/$$/exe)" ]; do :; done
 }
 
