--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -6,7 +6,7 @@
 #include <errno.h>
 #include <string.h>
 
-#define INSTANCE_MAX 64
+#define INSTANCE_MAX 64 /* bytes of a name */
 
 /* The instance whose log PATH is, unless the log tells: the file's name without
    its ending.  */
--- a/ctl/store.c
+++ b/ctl/store.c
@@ -14,8 +14,9 @@
 #include <string.h>
 #include <unistd.h>
 
-#define WAIT_STEP_MS  100
-#define INSTANCES_MAX 16384
+#define WAIT_STEP_MS 100 /* between two looks at all balancers */
+#define INSTANCES_MAX                                                          \
+  16384 /* records read; further ones are told and left out */
 
 /* -- the store -- */
 
--- a/ctl/story.c
+++ b/ctl/story.c
@@ -17,7 +17,7 @@
 #define BEFORE_MS                                                              \
   10000               /* lines about beliefs this long before the flow's own */
 #define AFTER_MS 2000 /* and after */
-#define TEXT_MAX 64
+#define TEXT_MAX 64   /* bytes of a name or flow */
 
 struct line
 {
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -20,7 +20,7 @@
 #define ENV_NAME_MAX        64
 #define HEARTBEAT_MAX_MS    60000
 #define LINES_MAX_S         100000
-#define CLOCK_OFFSET_MAX_MS 3600000
+#define CLOCK_OFFSET_MAX_MS 3600000 /* an hour */
 /* Roles that end flows at callers' side, and those that only hand packets on
    to backend servers that end flows themselves.  */
 #define IP_ROLES       (ROLE_BALANCER | ROLE_AGENT)
@@ -412,7 +412,7 @@
 
 /* -- reload -- */
 
-#define RELOAD_LINE_MAX 256
+#define RELOAD_LINE_MAX 256 /* bytes */
 
 static const struct option *
 find_live (const char *name)
--- a/emulator/experiment.c
+++ b/emulator/experiment.c
@@ -11,9 +11,9 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define USERS_MAX   4000
-#define SERVERS_MAX 64
-#define MS_MAX      120000
+#define USERS_MAX   4000   /* of a class, in each data centre */
+#define SERVERS_MAX 64     /* of a service, in each data centre */
+#define MS_MAX      120000 /* milliseconds, of any time in a file */
 
 /* -- steps -- */
 
--- a/emulator/main.c
+++ b/emulator/main.c
@@ -10,9 +10,9 @@
 #include <string.h>
 #include <unistd.h>
 
-#define POLICIES_MAX   8
+#define POLICIES_MAX   8 /* in one run */
 #define FILE_MAX_BYTES (1024 * 1024)
-#define SEEDS_MAX      10000
+#define SEEDS_MAX      10000 /* runs of a policy */
 
 struct flags
 {
--- a/standin/wire.c
+++ b/standin/wire.c
@@ -29,10 +29,10 @@
 #include <unistd.h>
 #include <utlist.h>
 
-#define HOSTS_MAX    64
-#define PORTS_MAX    8
-#define DATAGRAM_CAP 65536
-#define CHUNK        16384
+#define HOSTS_MAX    64    /* addresses on each network */
+#define PORTS_MAX    8     /* of each protocol */
+#define DATAGRAM_CAP 65536 /* bytes */
+#define CHUNK        16384 /* bytes of a stream, read at once */
 #define TICK_MS      2
 #define EVERY        HOSTS_MAX /* "*" in a command */
 
