--- a/core/dispatch_choose.c
+++ b/core/dispatch_choose.c
@@ -23,8 +23,9 @@
 #define REMOTE_FLOWS  3    /* and so many flows a slot: few tell nothing */
 #define WARM_MS       4000 /* a new server grows into its share */
 #define WARM_START    0.3  /* share at its start */
-#define CANDIDATES    512 /* agents of a service; further ones get no flows here \
-                           */
+#define CANDIDATES                                                             \
+  512 /* agents of a service; further ones get no flows here                   \
+       */
 
 struct totals
 {
