Read the root again when a part that it references is gone

Ruled out: the store's conditional write; both operators' writes are ordered by it. Change: root and services are read together, again while a part is missing, six times at most; then the missing part is reported as such. standin-platform gains hide_parts, and the test failed with it before the change. Process tests keep the outputs of all processes when they fail, and stacks when they do not end.

--- a/ctl/change.c
+++ b/ctl/change.c
@@ -20,6 +20,8 @@
 #include <unistd.h>
 
 #define ATTEMPTS_MAX 20 /* of a repeated call, and of a whole change */
+#define READS_MAX    6  /* of the root, while a part that it references is gone \
+                         */
 
 /* A change that is being made, over all attempts.  */
 struct pending_change
@@ -84,8 +86,10 @@
   return status;
 }
 
+/* Reads a part and adds its services.  Sets MISSING if there is no such part:
+   another change that was accepted after the root was read has deleted it.  */
 static enum ctl_exit
-read_part (struct pending_change *p, const struct bl_part *part)
+read_part (struct pending_change *p, const struct bl_part *part, bool *missing)
 {
   struct io_object object = { .len = 0 };
   struct bl_service **services = NULL;
@@ -98,6 +102,9 @@
                          (struct bl_str){ object.text, object.len },
                          &p->findings);
   io_object_clear (&object);
+  *missing = result == IO_KV_NOT_FOUND;
+  if (*missing)
+    return CTL_UNREACHABLE;
   if (result != IO_KV_OK)
     return report_unreachable (p, part->key);
   for (size_t i = 0; i < count; i++)
@@ -120,14 +127,39 @@
 }
 
 static enum ctl_exit
-read_services (struct pending_change *p)
+read_services (struct pending_change *p, bool *missing)
 {
   enum ctl_exit status = CTL_OK;
 
   bl_service_list_clear (&p->list);
   for (unsigned i = 0; i < BL_ROOT_PARTS && status == CTL_OK; i++)
     if (p->root.parts[i].key[0] != '\0' && must_read_part (p, i))
-      status = read_part (p, &p->root.parts[i]);
+      status = read_part (p, &p->root.parts[i], missing);
+  return status;
+}
+
+/* Reads the root and the services.  If a part is missing, the root is read
+   again, which then references the part that replaced it.  */
+static enum ctl_exit
+read_configuration (struct pending_change *p)
+{
+  enum ctl_exit status = CTL_OK;
+  bool missing = false;
+
+  for (unsigned i = 1; i <= READS_MAX; i++)
+    {
+      missing = false;
+      status = read_root (p);
+      if (status == CTL_OK)
+        status = read_services (p, &missing);
+      if (!missing)
+        return status;
+      usleep (io_kv_backoff_ms (p->kv, i) * 1000);
+    }
+  fprintf (stderr,
+           "version %lu of the configuration references a part that does not "
+           "exist; nothing was changed\n",
+           p->root.version);
   return status;
 }
 
@@ -297,10 +329,8 @@
 static enum ctl_exit
 prepare_change (struct pending_change *p, bool first)
 {
-  enum ctl_exit status = read_root (p);
+  enum ctl_exit status = read_configuration (p);
 
-  if (status == CTL_OK)
-    status = read_services (p);
   if (status != CTL_OK)
     return status;
   if (first)
--- a/examples/deploy.sh
+++ b/examples/deploy.sh
@@ -13,6 +13,7 @@
 NET=${NET:-127.$((1 + $$ % 250)).$((1 + $$ / 250 % 250))}
 DATA=7000 CONTROL=7010 BULK=7020 ADMIN=8400
 NEXT_HOST=10
+TEST_LIMIT_S=${TEST_LIMIT_S:-110} # shorter than the limit in test/run.sh
 declare -A PID_OF IP_OF
 BALANCER_IDS=()
 BACKEND_IDS=()
@@ -40,6 +41,59 @@
   for pid in $(jobs -p); do wait "$pid" 2>/dev/null; done
 }
 
+# begin_test: to be called first by a test.  Traces the commands of the script to
+# $RUN/trace.  When the script fails, the outputs of all processes are kept in
+# $BIN/failed; a test that takes longer than TEST_LIMIT_S is ended, and the stacks
+# of its processes are kept too.
+begin_test () {
+  trap end_test EXIT
+  trap 'exit 143' TERM # else the first trap would not run
+  exec {BASH_XTRACEFD}>"$RUN/trace"
+  set -x
+  mkfifo "$RUN/timer"
+  (
+    read -rt "$TEST_LIMIT_S" <>"$RUN/timer"
+    end_overdue_test
+  ) &
+}
+
+# child_pids: prints the ids of the child processes of the script, without the
+# subshell that calls it
+child_pids () {
+  local pid
+  for pid in $(<"/proc/$$/task/$$/children"); do
+    [ "$pid" = "$BASHPID" ] || echo "$pid"
+  done
+}
+
+# end_overdue_test: writes the stacks of the processes of the test to
+# $RUN/stacks, then ends them and the script
+end_overdue_test () {
+  local pid pids
+  pids=$(child_pids)
+  for pid in $pids; do
+    echo "== $pid $(tr '\0' ' ' <"/proc/$pid/cmdline")"
+    timeout 10 gdb -p "$pid" -batch -ex 'thread apply all bt'
+  done >"$RUN/stacks" 2>&1
+  echo "the test did not end within $TEST_LIMIT_S s" >&2
+  kill -TERM $$
+  for pid in $pids; do kill -KILL "$pid" 2>/dev/null; done
+}
+
+# end_test: stops all processes and, if the test failed, keeps their outputs
+end_test () {
+  local status=$? kept
+  set +x
+  stop_all
+  if [ $status != 0 ]; then
+    kept=$BIN/failed/$(basename "$0" .sh).$$
+    rm -f "$RUN/timer" # a named pipe; cp would wait for a writer
+    mkdir -p "$kept" && cp "$RUN"/* "$kept"
+    echo "exit status $status; the outputs of all processes are in $kept" >&2
+  fi
+  rm -rf "$RUN"
+}
+
 # new_ip: sets IP to the next unused address
 new_ip () {
   IP=$NET.$NEXT_HOST
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -5,6 +5,8 @@
      mode=down | up       while down, each call is answered with 503
      slow_ms=N            each call takes N ms longer
      lose_answers=N       the next N writes take effect but get no response
+     hide_parts=N         the next N reads of parts of the configuration find
+                          none
    GET /stats reports the number of calls; a watch counts as one call.  */
 
 #include <civetweb.h>
@@ -23,6 +25,8 @@
 
 #define KEY_MAX_BYTES   256 /* with the terminating zero */
 #define VALUE_MAX_BYTES (1024 * 1024)
+#define PART_PREFIX     "config/part-"
+#define PART_PREFIX_LEN (sizeof PART_PREFIX - 1)
 
 struct object
 {
@@ -42,6 +46,7 @@
   bool down;
   int slow_ms;
   int lose_answers; /* writes left that get no response */
+  int hide_parts;   /* reads of parts left that find none */
   uint64_t reads;
   uint64_t writes;
   uint64_t watches;
@@ -138,6 +143,12 @@
   for (;;)
     {
       o = find_object (key);
+      if (state.hide_parts > 0
+          && strncmp (key, PART_PREFIX, PART_PREFIX_LEN) == 0)
+        {
+          state.hide_parts--;
+          o = NULL;
+        }
       if (watch < 0 || (o != NULL ? (long)o->version : 0) != watch)
         return respond_object (conn, o);
       if (state.down
@@ -301,6 +312,7 @@
   state.slow_ms = (int)query_number (info, "slow_ms", state.slow_ms);
   state.lose_answers
       = (int)query_number (info, "lose_answers", state.lose_answers);
+  state.hide_parts = (int)query_number (info, "hide_parts", state.hide_parts);
   pthread_cond_broadcast (&state.changed);
   pthread_mutex_unlock (&state.mutex);
   return respond (conn, 200, 0, "", 0);
--- a/test/process_changes.sh
+++ b/test/process_changes.sh
@@ -6,7 +6,7 @@
 
 cd "$(dirname "$0")/.." || exit 1
 . examples/deploy.sh
-trap 'stop_all; rm -rf "$RUN"' EXIT
+begin_test
 deploy examples/clinic.conf >/dev/null 2>&1 || fail deploy
 LOADS="intake-desk,10.81.0.1:7101,statement,150,0,800,4,150,0
 guidance-shelf,10.81.0.2:7103,guidance,60,0,20000,5,150,0"
--- a/test/process_crash.sh
+++ b/test/process_crash.sh
@@ -6,7 +6,7 @@
 
 cd "$(dirname "$0")/.." || exit 1
 . examples/deploy.sh
-trap 'stop_all; rm -rf "$RUN"' EXIT
+begin_test
 deploy examples/clinic.conf >/dev/null 2>&1 || fail deploy
 LOADS="intake-desk,10.81.0.1:7101,statement,140,0,800,4,150,0"
 
--- a/test/process_datagram.sh
+++ b/test/process_datagram.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")/.." || exit 1
 . examples/deploy.sh
 . examples/datagram.sh
-trap 'stop_all; [ -n "$KEEP" ] || rm -rf "$RUN"' EXIT
+begin_test
 deploy_datagram || fail "deploy"
 
 # A run without faults: every request is answered.
--- a/test/process_golden.sh
+++ b/test/process_golden.sh
@@ -6,7 +6,7 @@
 
 cd "$(dirname "$0")/.." || exit 1
 . examples/deploy.sh
-trap 'stop_all; rm -rf "$RUN"' EXIT
+begin_test
 golden=test/golden/operator.txt
 deploy examples/clinic.conf >/dev/null 2>&1 || fail deploy
 
--- a/test/process_path.sh
+++ b/test/process_path.sh
@@ -5,7 +5,7 @@
 
 cd "$(dirname "$0")/.." || exit 1
 . examples/deploy.sh
-trap 'stop_all; rm -rf "$RUN"' EXIT
+begin_test
 deploy examples/clinic.conf || exit 1
 run_load load --seed 11
 wait "${PID_OF[load]}" || { cat "$RUN/load.log" "$RUN/load.out"; exit 1; }
--- a/test/process_platform.sh
+++ b/test/process_platform.sh
@@ -4,7 +4,7 @@
 
 cd "$(dirname "$0")/.." || exit 1
 . examples/deploy.sh
-trap 'stop_all; rm -rf "$RUN"' EXIT
+begin_test
 deploy examples/clinic.conf >/dev/null 2>&1 || fail deploy
 
 # The platform loses the answers of writes that took effect: the change must be
@@ -33,6 +33,19 @@
   *) fail "race: $one and $two" ;;
 esac
 
+# The parts that the root references are deleted by another change before they
+# are read: the root is read again, and the change is accepted.
+fault hide_parts=2
+ctl --backend intake-desk-2 weigh intake-desk 65 >"$RUN/replaced" 2>&1 ||
+  fail "parts replaced while reading: $(cat "$RUN/replaced")"
+
+# A part stays missing: nothing is changed, after a bounded number of reads.
+fault hide_parts=1000
+ctl --backend intake-desk-2 weigh intake-desk 66 >"$RUN/missing" 2>&1
+[ $? = 4 ] || fail "a missing part: $(cat "$RUN/missing")"
+grep -q 'does not exist' "$RUN/missing" || fail "not named: $(cat "$RUN/missing")"
+fault hide_parts=0
+
 # A change is accepted as a whole or refused with all findings.
 cat >"$RUN/bad.json" <<'J'
 [{"rule": {"service": "intake-desk", "backend": "intake-desk-3", "weight": 10}},
--- a/test/process_reload.sh
+++ b/test/process_reload.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.." || exit 1
 . examples/deploy.sh
 . examples/datagram.sh
-trap 'stop_all; rm -rf "$RUN"' EXIT
+begin_test
 for i in 1 2 3; do new_instance b$i; done
 SEEDS="${IP_OF[b1]}:1"
 export BORAGELATCH_RELOAD_FILE=$RUN/reload
--- a/test/process_silent.sh
+++ b/test/process_silent.sh
@@ -7,7 +7,7 @@
 
 cd "$(dirname "$0")/.." || exit 1
 . examples/deploy.sh
-trap 'stop_all; rm -rf "$RUN"' EXIT
+begin_test
 cat >"$RUN/one.conf" <<'C'
 DCS="tll1 tll2"
 BALANCERS_PER_DC=1
--- a/test/process_store.sh
+++ b/test/process_store.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.." || exit 1
 . examples/deploy.sh
 . examples/datagram.sh
-trap 'stop_all; rm -rf "$RUN"' EXIT
+begin_test
 deploy_datagram || fail "deploy"
 
 ctl () { "$BIN/boragelatchctl" --store "$STORE_IP:8600" "$@" 2>&1; }
