Emulator: count duplicate runs; servers are slow after a start

Cause: duplicate_runs was never counted, and the age of a server mixed a time of day with simulated time, so checks of both showed nothing. Change: callers keep their last attempts, and a run of a request that ran before is counted; the age is in simulated time. test_emulator fails without either.

--- a/emulator/emulator.c
+++ b/emulator/emulator.c
@@ -672,7 +672,7 @@
   s->alive = true;
   s->generation++;
   s->start_time_ms = em_time_of_day (em);
-  s->heartbeats_sent = 0;
+  s->started_us = em->now_us;
   s->heartbeats_sent = 0;
   s->draining = false;
   s->drain_reported_us = 0;
--- a/emulator/emulator.h
+++ b/emulator/emulator.h
@@ -29,10 +29,11 @@
   const char *name;
   unsigned service; /* index in the services of em_settings */
   enum em_flow_mode flow_mode;
-  bool repeatable;  /* a request that may have run can be sent again */
-  unsigned callers; /* callers in each data centre */
-  double pause_ms;  /* mean time between an answer and the next request */
-  double work_ms;   /* mean time that a request runs */
+  bool repeatable;       /* a request that may have run can be sent again */
+  bool retries_unsafely; /* faulty callers: send it again nevertheless */
+  unsigned callers;      /* callers in each data centre */
+  double pause_ms;       /* mean time between an answer and the next request */
+  double work_ms;        /* mean time that a request runs */
   unsigned response_target_ms; /* answers within this time are in time */
   unsigned deadline_ms;        /* a request without an answer by then fails */
   unsigned retries;            /* attempts after the first, on new flows */
--- a/emulator/emulator_callers.c
+++ b/emulator/emulator_callers.c
@@ -169,6 +169,43 @@
 
 /* -- attempts -- */
 
+/* Stores the attempt that sends the present request on the present flow.  */
+static void
+record_attempt (struct em_caller *caller)
+{
+  size_t at = caller->attempt_count++ % EM_ATTEMPTS_KEPT;
+
+  caller->attempts[at] = (struct em_attempt){
+    .request_number = caller->request_number,
+    .seq = caller->seq,
+    .port = caller->port,
+  };
+}
+
+void
+em_note_run (struct em *em, const struct bl_flow_key *key, uint32_t seq)
+{
+  struct em_caller *caller = &em->callers[em_caller_index (key)];
+  struct em_attempt *started = NULL;
+
+  if (class_of (em, caller)->repeatable)
+    return;
+  for (size_t i = 0; i < EM_ATTEMPTS_KEPT; i++)
+    if (caller->attempts[i].port == key->src_port
+        && caller->attempts[i].seq == seq)
+      started = &caller->attempts[i];
+  if (started == NULL)
+    return;
+  for (size_t i = 0; i < EM_ATTEMPTS_KEPT; i++)
+    if (caller->attempts[i].request_number == started->request_number
+        && caller->attempts[i].has_run)
+      {
+        em->totals.duplicate_runs++;
+        break;
+      }
+  started->has_run = true;
+}
+
 static void retransmit_request (void *ctx, struct event *e);
 
 /* Sends the request and schedules its retransmission after WAIT_US.  */
@@ -249,6 +286,7 @@
 
   caller->timer_generation++;
   caller->state = EM_WAITING;
+  record_attempt (caller);
   send_request (em, index, REQUEST_RETRANSMIT_US);
 }
 
@@ -276,7 +314,7 @@
 
   caller->flow_open = false;
   if (caller->retry_count++ >= c->retries
-      || (caller->may_have_run && !c->repeatable))
+      || (caller->may_have_run && !c->repeatable && !c->retries_unsafely))
     {
       finish_request (em, index, result);
       return;
--- a/emulator/emulator_inner.h
+++ b/emulator/emulator_inner.h
@@ -57,6 +57,7 @@
   bool alive;                  /* the backend server */
   uint64_t generation;         /* number of the backend server's starts */
   uint64_t start_time_ms;      /* time of day of the last start */
+  uint64_t started_us;         /* simulated time of the last start */
   uint64_t heartbeats_sent;    /* since the last start */
   bool draining;
   uint64_t drain_reported_us;   /* drain reached the agent; 0: not yet */
@@ -76,6 +77,17 @@
   EM_WAITING, /* waits for an answer */
 };
 
+#define EM_ATTEMPTS_KEPT 8
+
+/* An attempt of a caller: a request that was sent on a flow.  */
+struct em_attempt
+{
+  uint64_t request_number;
+  uint32_t seq; /* sequence number of the request packet */
+  uint16_t port;
+  bool has_run;
+};
+
 /* A caller, which has one request or none in progress.  */
 struct em_caller
 {
@@ -90,8 +102,10 @@
   uint64_t request_number; /* identifies the present request */
   /* Changes with each change of state; timers of an earlier value are void.  */
   uint64_t timer_generation;
-  unsigned retry_count; /* of the present request */
-  bool may_have_run;    /* the present request */
+  unsigned retry_count;                         /* of the present request */
+  bool may_have_run;                            /* the present request */
+  size_t attempt_count;                         /* since the start */
+  struct em_attempt attempts[EM_ATTEMPTS_KEPT]; /* the last ones, a ring */
 };
 
 struct em
@@ -176,6 +190,9 @@
 
 /* -- emulator_callers.c -- */
 
+/* Counts the run of the request packet with sequence number SEQ on a flow, if
+   the request must not run twice and has run before.  */
+void em_note_run (struct em *em, const struct bl_flow_key *key, uint32_t seq);
 /* Creates the callers, each in a pause.  */
 void em_start_callers (struct em *em);
 /* Sends a packet of a backend server to its caller; it arrives after the delay
--- a/emulator/emulator_server.c
+++ b/emulator/emulator_server.c
@@ -113,7 +113,7 @@
   const struct em_class *c
       = &s->em->settings
              .classes[s->em->callers[em_caller_index (&request->key)].class];
-  uint64_t age_us = s->em->now_us - s->start_time_ms * 1000;
+  uint64_t age_us = s->em->now_us - s->started_us;
   double us = 1000 * c->work_ms * s->slowness
               * (0.6 + 0.8 * bl_random_unit (&s->em->random));
   struct event *e;
@@ -122,6 +122,7 @@
     us *= WARM_UP_FACTOR;
   s->running++;
   s->requests_started++;
+  em_note_run (s->em, &request->key, request->request_seq);
   e = em_post (s->em, us, finish_request, s->index, sizeof *request);
   e->tag = s->generation;
   *(struct em_server_request *)e->data = *request;
