Agents count a request in progress only while it takes a slot

Hypothesis: agents refuse callers while their servers are idle, because requests that are over still count. Cause: a copy of a request that was answered started a new request, which then counted for 8 s; an upload counted from its first packet; a request whose caller had reset its flow counted until the entry expired. Ruled out: slow links alone (they prolong uploads but do not keep them in progress after the answer). Change: a request begins with the packet that ends it (shorter than a full one), a copy begins nothing, a reset by the caller ends it. Test: test_pass, test_requests_in_progress, fails first.

--- a/core/passthrough.c
+++ b/core/passthrough.c
@@ -67,37 +67,6 @@
   return pass;
 }
 
-static void
-remove_flow (struct bl_passthrough *pass, struct bl_passthrough_flow *f)
-{
-  if (f->request_start_ms != 0)
-    pass->busy--;
-  if (f->awaiting_request)
-    pass->awaiting_requests--;
-  HASH_DEL (pass->flows, f);
-  free (f);
-}
-
-void
-bl_passthrough_remove_flows (struct bl_passthrough *pass)
-{
-  struct bl_passthrough_flow *f;
-  struct bl_passthrough_flow *next;
-
-  HASH_ITER (hh, pass->flows, f, next)
-  remove_flow (pass, f);
-}
-
-void
-bl_passthrough_free (struct bl_passthrough *pass)
-{
-  if (pass == NULL)
-    return;
-  bl_passthrough_remove_flows (pass);
-  bl_buffer_free (&pass->buffer);
-  free (pass);
-}
-
 static struct bl_passthrough_flow *
 find_flow (struct bl_passthrough *pass, const struct bl_flow_key *key)
 {
@@ -138,11 +107,18 @@
   pass->awaiting_requests += awaiting ? 1 : -1;
 }
 
+/* Ends the request of F without an answer.  */
+static void
+cancel_request (struct bl_passthrough *pass, struct bl_passthrough_flow *f)
+{
+  if (f->request_start_ms != 0)
+    pass->busy--;
+  f->request_start_ms = 0;
+}
+
 static void
 set_busy (struct bl_passthrough *pass, struct bl_passthrough_flow *f, bool busy)
 {
-  if (busy)
-    set_awaiting_request (pass, f, false);
   if (busy == (f->request_start_ms != 0))
     return;
   if (!busy)
@@ -151,6 +127,35 @@
   pass->busy += busy ? 1 : -1;
 }
 
+static void
+remove_flow (struct bl_passthrough *pass, struct bl_passthrough_flow *f)
+{
+  cancel_request (pass, f);
+  set_awaiting_request (pass, f, false);
+  HASH_DEL (pass->flows, f);
+  free (f);
+}
+
+void
+bl_passthrough_remove_flows (struct bl_passthrough *pass)
+{
+  struct bl_passthrough_flow *f;
+  struct bl_passthrough_flow *next;
+
+  HASH_ITER (hh, pass->flows, f, next)
+  remove_flow (pass, f);
+}
+
+void
+bl_passthrough_free (struct bl_passthrough *pass)
+{
+  if (pass == NULL)
+    return;
+  bl_passthrough_remove_flows (pass);
+  bl_buffer_free (&pass->buffer);
+  free (pass);
+}
+
 /* -- messages to balancers -- */
 
 static void
@@ -352,10 +357,11 @@
     return;
   if (f->first_seq != packet->seq)
     {
-      set_busy (pass, f, false);
+      cancel_request (pass, f);
       f->established = false;
       f->closed = false;
       f->next_seq_known = false;
+      f->caller_seq_known = false;
     }
   f->first_seq = packet->seq;
   f->offered_ms = pass->now;
@@ -377,6 +383,41 @@
   return pass->started_ms == 0 || pass->now - pass->started_ms < INCOMPLETE_MS;
 }
 
+/* Handles payload of a caller.  A request takes a slot of the backend server
+   when it has arrived completely: while a long one arrives, its packets carry
+   the most payload that a packet can hold.  A copy of a packet that arrived
+   before starts no request.  */
+static void
+note_payload (struct bl_passthrough *pass,
+              struct bl_passthrough_flow *f,
+              const struct bl_packet *packet)
+{
+  uint32_t end = packet->seq + packet->payload_len;
+  uint32_t full = pass->settings.payload_max;
+
+  if (f->caller_seq_known && (int32_t)(end - f->caller_seq) <= 0)
+    return;
+  f->caller_seq = end;
+  f->caller_seq_known = true;
+  set_awaiting_request (pass, f, false);
+  if (full == 0 || packet->payload_len < full)
+    set_busy (pass, f, true);
+}
+
+/* Handles the end of a flow by its caller; a reset ends its request too.  */
+static void
+note_end (struct bl_passthrough *pass,
+          struct bl_passthrough_flow *f,
+          uint8_t flags)
+{
+  if ((flags & (BL_TCP_FIN | BL_TCP_RST)) == 0)
+    return;
+  f->closed = true;
+  set_awaiting_request (pass, f, false);
+  if (flags & BL_TCP_RST)
+    cancel_request (pass, f);
+}
+
 static void
 on_later_packet (struct bl_passthrough *pass,
                  struct bl_addr from,
@@ -402,9 +443,9 @@
           = f->owner_reported && bl_addr_equal (f->balancer, from);
       f->balancer = from;
       f->established = f->established || matches_ack (f, packet->ack);
-      f->closed = f->closed || (packet->flags & (BL_TCP_FIN | BL_TCP_RST)) != 0;
       if (packet->payload_len > 0)
-        set_busy (pass, f, true);
+        note_payload (pass, f, packet);
+      note_end (pass, f, packet->flags);
     }
   deliver (pass, from, packet, bytes, len);
 }
@@ -596,7 +637,7 @@
       remove_flow (pass, f);
     else if (f->request_start_ms != 0
              && pass->now - f->request_start_ms > REQUEST_MAX_MS)
-      set_busy (pass, f, false);
+      cancel_request (pass, f);
     else if (f->awaiting_request && idle > FIRST_REQUEST_MS)
       set_awaiting_request (pass, f, false);
   }
--- a/core/passthrough.h
+++ b/core/passthrough.h
@@ -17,6 +17,7 @@
 {
   struct bl_record self; /* id, data centre, service, addresses, incarnation */
   uint64_t heartbeat_ms; /* interval of the backend server's heartbeats */
+  uint32_t payload_max;  /* bytes in a full packet of a caller; 0: not known */
   size_t seed_count;
   struct bl_addr seeds[BL_SEEDS_MAX]; /* control addresses of balancers */
 };
--- a/core/passthrough_inner.h
+++ b/core/passthrough_inner.h
@@ -21,7 +21,9 @@
   uint64_t request_start_ms; /* start of the request under way; 0: none */
   uint32_t first_seq;        /* sequence number of the first packet */
   uint32_t next_seq;         /* next sequence number of the backend server */
+  uint32_t caller_seq;       /* next sequence number of the caller's payload */
   bool next_seq_known;
+  bool caller_seq_known;
   bool established;
   bool closed;             /* FIN or RST seen */
   bool awaiting_request;   /* opened, and no request has arrived yet */
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -419,6 +419,7 @@
       .incarnation = io_wall_ms () + s->clock_offset_ms,
     },
     .heartbeat_ms = s->heartbeat_ms,
+    .payload_max = PLATFORM_PAYLOAD_MAX,
     .seed_count = s->seed_count,
   };
 
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -14,8 +14,9 @@
 
 #include <cmocka.h>
 
-#define INCARNATION 100000 /* milliseconds since 1970 */
-#define QUERIED_ACK 51     /* acknowledgement number of owner queries */
+#define FULL_PAYLOAD 1200   /* bytes */
+#define INCARNATION  100000 /* milliseconds since 1970 */
+#define QUERIED_ACK  51     /* acknowledgement number of owner queries */
 
 /* Results of the operations that the agent has called.  */
 struct observed
@@ -108,6 +109,7 @@
   struct bl_passthrough_settings settings = {
     .self = { .kind = BL_KIND_BACKEND, .incarnation = INCARNATION },
     .heartbeat_ms = 1000,
+    .payload_max = FULL_PAYLOAD,
   };
 
   bl_name_set (&settings.self.id, bl_str_of ("a"));
@@ -346,6 +348,105 @@
   bl_passthrough_free (p);
 }
 
+enum packet_kind
+{
+  PACKET_END,
+  SYN,
+  PAYLOAD, /* of the caller */
+  FIN,
+  RST,
+  ANSWER, /* of the backend server, with payload */
+};
+
+/* Guards against backend servers that are taken to be busy while they are idle,
+   so that callers are refused without need: copies of answered requests,
+   requests that still arrive, and callers that have left take no slot.  */
+static void
+test_requests_in_progress (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    struct
+    {
+      enum packet_kind kind;
+      uint32_t seq;
+      uint16_t len;
+    } packets[8];
+    uint32_t want_busy;
+  } cases[] = {
+    { "a request", { { SYN, 9, 0 }, { PAYLOAD, 10, 900 } }, 1 },
+    { "an answered request",
+      { { SYN, 9, 0 }, { PAYLOAD, 10, 900 }, { ANSWER, 1, 300 } },
+      0 },
+    { "a copy of an answered request",
+      { { SYN, 9, 0 },
+        { PAYLOAD, 10, 900 },
+        { ANSWER, 1, 300 },
+        { PAYLOAD, 10, 900 } },
+      0 },
+    { "the next request",
+      { { SYN, 9, 0 },
+        { PAYLOAD, 10, 900 },
+        { ANSWER, 1, 300 },
+        { PAYLOAD, 910, 900 } },
+      1 },
+    { "a request that still arrives",
+      { { SYN, 9, 0 },
+        { PAYLOAD, 10, FULL_PAYLOAD },
+        { PAYLOAD, 1210, FULL_PAYLOAD } },
+      0 },
+    { "a long request that has arrived",
+      { { SYN, 9, 0 },
+        { PAYLOAD, 10, FULL_PAYLOAD },
+        { PAYLOAD, 1210, FULL_PAYLOAD },
+        { PAYLOAD, 2410, 20 } },
+      1 },
+    { "a caller that has left",
+      { { SYN, 9, 0 }, { PAYLOAD, 10, 900 }, { RST, 910, 0 } },
+      0 },
+    { "a caller that sends no more",
+      { { SYN, 9, 0 }, { PAYLOAD, 10, 900 }, { FIN, 910, 0 } },
+      1 },
+  };
+  static const uint8_t flags[] = { [SYN] = BL_TCP_SYN,
+                                   [PAYLOAD] = BL_TCP_ACK,
+                                   [FIN] = BL_TCP_ACK | BL_TCP_FIN,
+                                   [RST] = BL_TCP_RST,
+                                   [ANSWER] = BL_TCP_ACK };
+  struct bl_link_msg link = { .type = BL_LINK_PACKET };
+  struct bl_name name;
+
+  (void)state;
+  bl_name_set (&name, bl_str_of ("s"));
+  link.service = bl_name_hash (&name, 0);
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct observed observed = { .delivered = 0 };
+      struct bl_passthrough *p = new_agent (&observed);
+      pass_input (p, 5, &(struct input){ HB_READY, 9, 1 });
+      for (unsigned k = 0; cases[i].packets[k].kind != PACKET_END; k++)
+        {
+          struct bl_packet packet = {
+            .key = key,
+            .seq = cases[i].packets[k].seq,
+            .flags = flags[cases[i].packets[k].kind],
+            .payload_len = cases[i].packets[k].len,
+          };
+          if (cases[i].packets[k].kind == ANSWER)
+            bl_passthrough_outgoing (p, 10 + k, &packet,
+                                     (const uint8_t *)&packet, sizeof packet);
+          else
+            bl_passthrough_link (p, 10 + k, balancer, &link, &packet,
+                                 (const uint8_t *)&packet, sizeof packet);
+        }
+      if (bl_passthrough_busy (p) != cases[i].want_busy)
+        fail_msg ("%s: %u requests in progress", cases[i].name,
+                  bl_passthrough_busy (p));
+      bl_passthrough_free (p);
+    }
+}
+
 static enum bl_link_type
 query_owner (struct bl_passthrough *p, struct observed *observed, uint64_t now)
 {
@@ -657,6 +758,7 @@
     cmocka_unit_test (test_states),
     cmocka_unit_test (test_first_packets),
     cmocka_unit_test (test_refuses_when_saturated),
+    cmocka_unit_test (test_requests_in_progress),
     cmocka_unit_test (test_denial_requires_complete_table),
     cmocka_unit_test (test_start_with_clock_set_back),
     cmocka_unit_test (test_server_answers_after_restart),
