Admit new flows by class at the agent

Hypothesis: under more load than the servers hold, a class that opens a flow for each request loses to one that keeps its flows, because first packets are refused whoever sends them. Change: packets carry the priority of their route to the agent (link version 2); core/class_load.c keeps for the more urgent classes the part of slots and queue that their requests need (rate of arrival times time in a slot).

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -215,10 +215,13 @@
                      const uint8_t *packet,
                      size_t len)
 {
+  const struct bl_route_entry *route
+      = bl_route_table_find (d->table, f->key.dst_ip, f->key.dst_port);
   struct bl_link_msg link = {
     .type = BL_LINK_PACKET,
     .service = to->service,
     .key = f->key,
+    .priority = route != NULL ? route->priority : 0,
   };
 
   d->counters[BL_DISPATCH_FORWARDED]++;
--- a/core/link.c
+++ b/core/link.c
@@ -12,7 +12,7 @@
 #include <msgpack.h>
 #include <string.h>
 
-#define LINK_FIELDS 11
+#define LINK_FIELDS 12
 #define KEY_FIELDS  4
 /* The decoded objects are allocated in chunks of this size.  */
 #define ZONE_CHUNK_BYTES 1024
@@ -54,6 +54,7 @@
   msgpack_pack_uint64 (&pk, link->backend_start);
   msgpack_pack_uint32 (&pk, link->busy);
   msgpack_pack_uint32 (&pk, link->flows);
+  msgpack_pack_uint8 (&pk, link->priority);
   return out.len;
 }
 
@@ -86,7 +87,7 @@
   uint64_t version;
   uint64_t type;
   uint64_t reason;
-  uint64_t v[4];
+  uint64_t v[5];
 
   if (root->type != MSGPACK_OBJECT_ARRAY || root->via.array.size == 0)
     return BL_EFORMAT;
@@ -105,7 +106,8 @@
       || !bl_unpack_uint (&f[7], UINT64_MAX, &link->incarnation)
       || !bl_unpack_uint (&f[8], UINT64_MAX, &link->backend_start)
       || !bl_unpack_uint (&f[9], UINT32_MAX, &v[2])
-      || !bl_unpack_uint (&f[10], UINT32_MAX, &v[3]))
+      || !bl_unpack_uint (&f[10], UINT32_MAX, &v[3])
+      || !bl_unpack_uint (&f[11], UINT8_MAX, &v[4]))
     return BL_EFORMAT;
   link->type = (enum bl_link_type)type;
   link->reason = (enum bl_link_reason)reason;
@@ -113,6 +115,7 @@
   link->ack = (uint32_t)v[1];
   link->busy = (uint32_t)v[2];
   link->flows = (uint32_t)v[3];
+  link->priority = (uint8_t)v[4];
   return BL_OK;
 }
 
--- a/core/link.h
+++ b/core/link.h
@@ -9,7 +9,7 @@
 
 #include "boragelatch.h"
 
-#define BL_LINK_VERSION 1
+#define BL_LINK_VERSION 2
 #define BL_LINK_MAX     128 /* bytes of an encoded message without packet */
 
 enum bl_link_type
@@ -60,6 +60,7 @@
   enum bl_link_reason reason;
   uint64_t service; /* hash of the name of the service */
   struct bl_flow_key key;
+  uint8_t priority;       /* of the packet's route; 0 is the most urgent */
   uint32_t seq;           /* initial sequence number of the backend server */
   uint32_t ack;           /* acknowledgement number of the caller's packet */
   uint64_t incarnation;   /* of the agent */
--- a/core/passthrough.c
+++ b/core/passthrough.c
@@ -31,7 +31,6 @@
 #define REQUEST_MAX_MS     8000  /* an unanswered request is over after this */
 #define SWEEP_INTERVAL_MS  200
 #define FIRST_REQUEST_MS   150   /* longest wait for a flow's first request */
-#define QUEUE_REQUESTS     6     /* queued at a server, which may shed more */
 #define FLOWS_MAX          65536 /* entries, about 10 MB of memory */
 #define MONITOR_TTL_MS     10000 /* a monitor is kept after its last request */
 #define MONITOR_SILENCE_MS 1500  /* without any request: contact the seeds */
@@ -104,27 +103,58 @@
   if (awaiting == f->awaiting_request)
     return;
   f->awaiting_request = awaiting;
-  pass->awaiting_requests += awaiting ? 1 : -1;
+  pass->load.classes[f->class].in_progress += awaiting ? 1 : -1;
+}
+
+static void
+set_class (struct bl_passthrough *pass,
+           struct bl_passthrough_flow *f,
+           unsigned class)
+{
+  uint32_t in_progress
+      = (f->request_start_ms != 0 ? 1 : 0) + (f->awaiting_request ? 1 : 0);
+
+  pass->load.classes[f->class].in_progress -= in_progress;
+  f->class = (uint8_t) class;
+  pass->load.classes[f->class].in_progress += in_progress;
 }
 
 /* Ends the request of F without an answer.  */
 static void
 cancel_request (struct bl_passthrough *pass, struct bl_passthrough_flow *f)
 {
-  if (f->request_start_ms != 0)
-    pass->busy--;
+  if (f->request_start_ms == 0)
+    return;
   f->request_start_ms = 0;
+  pass->busy--;
+  pass->load.classes[f->class].in_progress--;
 }
 
 static void
-set_busy (struct bl_passthrough *pass, struct bl_passthrough_flow *f, bool busy)
+begin_request (struct bl_passthrough *pass, struct bl_passthrough_flow *f)
 {
-  if (busy == (f->request_start_ms != 0))
+  bl_class_load_arrived (&pass->load, pass->now, f->class);
+  if (f->request_start_ms != 0)
     return;
-  if (!busy)
-    bl_histogram_add (&pass->service_times, pass->now - f->request_start_ms);
-  f->request_start_ms = busy ? pass->now : 0;
-  pass->busy += busy ? 1 : -1;
+  f->request_start_ms = pass->now;
+  f->queued_behind = pass->busy >= pass->self.slots;
+  pass->busy++;
+  pass->load.classes[f->class].in_progress++;
+}
+
+/* Handles the first packet of an answer.  The time of a request that waited at
+   the server is not the time that it took a slot.  */
+static void
+finish_request (struct bl_passthrough *pass, struct bl_passthrough_flow *f)
+{
+  uint64_t ms = pass->now - f->request_start_ms;
+
+  if (f->request_start_ms == 0)
+    return;
+  bl_histogram_add (&pass->service_times, ms);
+  if (!f->queued_behind)
+    bl_class_load_add_work (&pass->load, f->class, ms);
+  cancel_request (pass, f);
 }
 
 static void
@@ -315,24 +345,15 @@
   pass->ops.deliver (pass->ctx, bytes, len, token_of (pass, from));
 }
 
-/* Load pattern: all callers reconnect at once, after a power loss or in a
-   burst.  A new flow sends a request at once.  When the requests under way and
-   those still to come fill the slots and a short queue, the flow is refused and
-   offered to another server, which costs the caller a round trip instead of a
-   failed attempt.  */
-static bool
-is_saturated (const struct bl_passthrough *pass)
-{
-  return pass->self.slots > 0
-         && pass->busy + pass->awaiting_requests
-                >= pass->self.slots + QUEUE_REQUESTS;
-}
-
 static enum bl_link_reason
-refusal_reason (const struct bl_passthrough *pass)
+refusal_reason (struct bl_passthrough *pass, unsigned class)
 {
   if (pass->self.state == BL_STATE_READY)
-    return is_saturated (pass) ? BL_REASON_FULL : BL_REASON_NONE;
+    return pass->self.slots == 0
+                   || bl_class_load_admits (&pass->load, pass->now,
+                                            pass->self.slots, class)
+               ? BL_REASON_NONE
+               : BL_REASON_FULL;
   return pass->self.state == BL_STATE_DRAINING ? BL_REASON_DRAINING
                                                : BL_REASON_DOWN;
 }
@@ -340,15 +361,18 @@
 static void
 on_first_packet (struct bl_passthrough *pass,
                  struct bl_addr from,
+                 unsigned class,
                  const struct bl_packet *packet,
                  const uint8_t *bytes,
                  size_t len)
 {
-  enum bl_link_reason reason = refusal_reason (pass);
+  enum bl_link_reason reason = refusal_reason (pass, class);
   struct bl_passthrough_flow *f;
 
   if (reason != BL_REASON_NONE)
     {
+      if (reason == BL_REASON_FULL)
+        bl_class_load_arrived (&pass->load, pass->now, class);
       refuse (pass, from, &packet->key, reason);
       return;
     }
@@ -363,6 +387,7 @@
       f->next_seq_known = false;
       f->caller_seq_known = false;
     }
+  set_class (pass, f, class);
   f->first_seq = packet->seq;
   f->offered_ms = pass->now;
   set_awaiting_request (pass, f, true);
@@ -401,7 +426,7 @@
   f->caller_seq_known = true;
   set_awaiting_request (pass, f, false);
   if (full == 0 || packet->payload_len < full)
-    set_busy (pass, f, true);
+    begin_request (pass, f);
 }
 
 /* Handles the end of a flow by its caller; a reset ends its request too.  */
@@ -421,6 +446,7 @@
 static void
 on_later_packet (struct bl_passthrough *pass,
                  struct bl_addr from,
+                 unsigned class,
                  const struct bl_packet *packet,
                  const uint8_t *bytes,
                  size_t len)
@@ -434,7 +460,10 @@
     {
       f = get_flow (pass, &packet->key);
       if (f != NULL)
-        f->balancer = from;
+        {
+          set_class (pass, f, class);
+          f->balancer = from;
+        }
     }
   else if (f != NULL)
     {
@@ -443,6 +472,7 @@
           = f->owner_reported && bl_addr_equal (f->balancer, from);
       f->balancer = from;
       f->established = f->established || matches_ack (f, packet->ack);
+      set_class (pass, f, class);
       if (packet->payload_len > 0)
         note_payload (pass, f, packet);
       note_end (pass, f, packet->flags);
@@ -470,11 +500,13 @@
                         len);
     }
   else if (first)
-    on_first_packet (pass, from, packet, bytes, len);
+    on_first_packet (pass, from, bl_class_of (link->priority), packet, bytes,
+                     len);
   else if (pass->self.state >= BL_STATE_LEFT)
     report_unknown (pass, from, packet, BL_REASON_DOWN, bytes, len);
   else
-    on_later_packet (pass, from, packet, bytes, len);
+    on_later_packet (pass, from, bl_class_of (link->priority), packet, bytes,
+                     len);
 }
 
 static void
@@ -569,7 +601,7 @@
   f->established = true;
   note_sent (f, packet);
   if (packet->payload_len > 0)
-    set_busy (pass, f, false);
+    finish_request (pass, f);
   if (packet->flags & (BL_TCP_FIN | BL_TCP_RST))
     f->closed = true;
   if (f->owner_reported || f->balancer.port == 0)
--- a/core/passthrough_inner.h
+++ b/core/passthrough_inner.h
@@ -4,6 +4,7 @@
 #ifndef BL_PASSTHROUGH_INNER_H
 #define BL_PASSTHROUGH_INNER_H
 
+#include "core/class_load.h"
 #include "core/msg.h"
 #include "core/passthrough.h"
 
@@ -25,7 +26,9 @@
   bool next_seq_known;
   bool caller_seq_known;
   bool established;
+  uint8_t class;           /* see core/class_load.h */
   bool closed;             /* FIN or RST seen */
+  bool queued_behind;      /* the request under way found all slots taken */
   bool awaiting_request;   /* opened, and no request has arrived yet */
   bool owner_reported;     /* BALANCER has been sent the owner */
   struct bl_addr balancer; /* source of the last packet; port 0: none */
@@ -49,8 +52,8 @@
   bool stopping;
   struct bl_record self;
   struct bl_passthrough_flow *flows;
-  uint32_t busy;              /* flows with a request under way */
-  uint32_t awaiting_requests; /* flows with awaiting_request set */
+  uint32_t busy; /* flows with a request under way */
+  struct bl_class_load load;
   /* The backend server.  */
   struct bl_name backend; /* empty: not known */
   uint64_t backend_start; /* milliseconds since 1970; 0: not known */
