Query the agents that were offered a flow first

Hypothesis: on a lossy link the report that a flow was accepted is lost, and the caller's next packet starts a lookup with queries to all agents (47 on the grown deployment, worked out: 5 KB each way), which fills the link further. Change: the lookup of a flow that is opening here begins with the agents that were offered it (four at most) and keeps the offers when it ends without a result.

--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -66,6 +66,7 @@
   struct bl_queried_agent *queried; /* owned */
   size_t open_probes; /* agents that were sent the packet and have not
                          returned it */
+  bool only_offered;  /* only agents that were offered the flow are queried */
   bool all_services;  /* agents of all services are queried, not only those of
                          the route's services */
 };
--- a/core/dispatch_lookup.c
+++ b/core/dispatch_lookup.c
@@ -4,7 +4,8 @@
    Load pattern: a balancer joins, stops or restarts, and packets of many open
    flows reach another balancer within a moment.
 
-   The agents of the route's services receive an owner query.  If all of them
+   The agents of the route's services receive an owner query; for a flow that is
+   opening here, at first only the agents that were offered it.  If all of them
    reply that they do not own the flow, the agents of all other services receive
    it too, because the route may have led to other services when the flow began.
    The packet is held meanwhile.  The flow table of an agent that started after
@@ -136,11 +137,24 @@
   return f->lookup.count - before;
 }
 
+/* Queries the agents that were offered a flow which opened through this
+   balancer.  Only they can own it unless a copy of its first packet went
+   elsewhere.  */
+static void
+query_offered (struct bl_dispatch *d, struct bl_tracked_flow *f)
+{
+  f->lookup.only_offered = true;
+  for (size_t i = 0; i < f->offer_count; i++)
+    query_agent (d, f, f->offers[i].instance);
+}
+
 void
 bl_lookup_start (struct bl_dispatch *d,
                  struct bl_tracked_flow *f,
                  const struct bl_raw_packet *raw)
 {
+  bool opening = f->phase == BL_PHASE_OPENING && f->offer_count > 0;
+
   bl_tracked_flow_discard_held (f);
   bl_tracked_flow_hold (f, raw);
   free (f->lookup.queried);
@@ -151,7 +165,10 @@
   f->phase_start_ms = d->now;
   d->counters[BL_DISPATCH_OWNER_LOOKUPS]++;
   bl_tracked_flow_set_pending (d, f, true);
-  query_route (d, f);
+  if (opening)
+    query_offered (d, f);
+  else
+    query_route (d, f);
 }
 
 void
@@ -180,6 +197,19 @@
   return NULL;
 }
 
+/* Ends a lookup without a result among the agents that were offered the flow.
+   The offers are kept, so that the lookup for the caller's next packet is as
+   short.  */
+static void
+return_to_opening (struct bl_dispatch *d, struct bl_tracked_flow *f)
+{
+  bl_tracked_flow_set_pending (d, f, false);
+  bl_tracked_flow_discard_held (f);
+  free (f->lookup.queried);
+  f->lookup = (struct bl_dispatch_owner_lookup){ .count = 0 };
+  f->phase = BL_PHASE_OPENING;
+}
+
 static void
 drop_held (struct bl_dispatch *d, struct bl_tracked_flow *f, const char *reason)
 {
@@ -187,7 +217,10 @@
   bl_dispatch_log_decision (d, "dropped", reason, &f->key,
                             first_unanswered (d, &f->lookup),
                             d->now - f->phase_start_ms);
-  bl_tracked_flow_remove (d, f);
+  if (f->lookup.only_offered)
+    return_to_opening (d, f);
+  else
+    bl_tracked_flow_remove (d, f);
 }
 
 /* Handles a lookup in which no queried agent owns the flow.  The owner may be
@@ -195,6 +228,12 @@
 static void
 on_none_owns (struct bl_dispatch *d, struct bl_tracked_flow *f)
 {
+  if (f->lookup.only_offered)
+    {
+      f->lookup.only_offered = false;
+      if (query_route (d, f) > 0)
+        return;
+    }
   if (!f->lookup.all_services)
     {
       f->lookup.all_services = true;
