A flow that has ended has no request in progress

Hypothesis: agents go on to refuse after a burst because requests count that never end. Between 14 and 17 s, with no burst, agents of the grown deployment reported up to 22 requests in progress; a server holds 10. Traced: 283 requests expired after 8 s; the flows of those in the log had been closed by the server, which resets a later request of the caller without payload. Change: a FIN or reset of the server ends the request; payload on a closed flow starts none. Test: test_requests_in_progress gains two cases.

--- a/core/passthrough.c
+++ b/core/passthrough.c
@@ -411,7 +411,7 @@
 /* Handles payload of a caller.  A request takes a slot of the backend server
    when it has arrived completely: while a long one arrives, its packets carry
    the most payload that a packet can hold.  A copy of a packet that arrived
-   before starts no request.  */
+   before starts no request, nor does a packet of a flow that has ended.  */
 static void
 note_payload (struct bl_passthrough *pass,
               struct bl_passthrough_flow *f,
@@ -420,7 +420,7 @@
   uint32_t end = packet->seq + packet->payload_len;
   uint32_t full = pass->settings.payload_max;
 
-  if (f->caller_seq_known && (int32_t)(end - f->caller_seq) <= 0)
+  if (f->closed || (f->caller_seq_known && (int32_t)(end - f->caller_seq) <= 0))
     return;
   f->caller_seq = end;
   f->caller_seq_known = true;
@@ -603,7 +603,10 @@
   if (packet->payload_len > 0)
     finish_request (pass, f);
   if (packet->flags & (BL_TCP_FIN | BL_TCP_RST))
-    f->closed = true;
+    {
+      f->closed = true;
+      cancel_request (pass, f);
+    }
   if (f->owner_reported || f->balancer.port == 0)
     return;
   f->owner_reported = true;
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -356,6 +356,8 @@
   FIN,
   RST,
   ANSWER, /* of the backend server, with payload */
+  SERVER_FIN,
+  SERVER_RST,
 };
 
 /* Guards against backend servers that are taken to be busy while they are idle,
@@ -405,6 +407,16 @@
     { "a caller that has left",
       { { SYN, 9, 0 }, { PAYLOAD, 10, 900 }, { RST, 910, 0 } },
       0 },
+    { "a flow that the server resets",
+      { { SYN, 9, 0 }, { PAYLOAD, 10, 900 }, { SERVER_RST, 1, 0 } },
+      0 },
+    { "a request on a flow that has ended",
+      { { SYN, 9, 0 },
+        { PAYLOAD, 10, 900 },
+        { ANSWER, 1, 300 },
+        { SERVER_FIN, 301, 0 },
+        { PAYLOAD, 910, 900 } },
+      0 },
     { "a caller that sends no more",
       { { SYN, 9, 0 }, { PAYLOAD, 10, 900 }, { FIN, 910, 0 } },
       1 },
@@ -413,7 +425,9 @@
                                    [PAYLOAD] = BL_TCP_ACK,
                                    [FIN] = BL_TCP_ACK | BL_TCP_FIN,
                                    [RST] = BL_TCP_RST,
-                                   [ANSWER] = BL_TCP_ACK };
+                                   [ANSWER] = BL_TCP_ACK,
+                                   [SERVER_FIN] = BL_TCP_ACK | BL_TCP_FIN,
+                                   [SERVER_RST] = BL_TCP_RST };
   struct bl_link_msg link = { .type = BL_LINK_PACKET };
   struct bl_name name;
 
@@ -433,7 +447,7 @@
             .flags = flags[cases[i].packets[k].kind],
             .payload_len = cases[i].packets[k].len,
           };
-          if (cases[i].packets[k].kind == ANSWER)
+          if (cases[i].packets[k].kind >= ANSWER)
             bl_passthrough_outgoing (p, 10 + k, &packet,
                                      (const uint8_t *)&packet, sizeof packet);
           else
