Refuse new flows on a full link; slow replies are no silence

Hypothesis: balancers with 10 Mbit/s are full at three times the load of the grown deployment (uploads of 40 KB; worked out, not measured: 8 to 9 Mbit/s each). Packets then wait for over a second: all flows through such a balancer fail, and it resets open flows because owners seem silent (reset why=backend_silent age_ms=1456). The time until an agent is unreachable grows with the mean time of replies (core/fleet.c).

--- a/core/class_load.c
+++ b/core/class_load.c
@@ -18,6 +18,7 @@
 #define QUEUE_REQUESTS    6    /* queued at a server, which may shed more */
 #define ARRIVAL_WINDOW_MS 1000 /* time constant of the decay */
 #define WORK_WEIGHT       0.05 /* of the latest request in the mean */
+#define REFUSED_WEIGHT    0.25 /* requests; balancers offer a flow four times */
 #define RESERVE_MAX       0.9  /* of the places; the rest is for any class */
 
 unsigned
@@ -46,6 +47,13 @@
   load->classes[class].arrivals++;
 }
 
+void
+bl_class_load_refused (struct bl_class_load *load, uint64_t now, unsigned class)
+{
+  decay (load, now);
+  load->classes[class].arrivals += REFUSED_WEIGHT;
+}
+
 void
 bl_class_load_add_work (struct bl_class_load *load, unsigned class, uint64_t ms)
 {
--- a/core/class_load.h
+++ b/core/class_load.h
@@ -27,10 +27,14 @@
 
 /* Returns the class of a priority.  */
 unsigned bl_class_of (uint8_t priority);
-/* Counts a request of CLASS that has arrived, whether or not it is admitted. */
+/* Counts a request of CLASS that has arrived.  */
 void bl_class_load_arrived (struct bl_class_load *load,
                             uint64_t now,
                             unsigned class);
+/* Counts a flow of CLASS that was refused for lack of room.  */
+void bl_class_load_refused (struct bl_class_load *load,
+                            uint64_t now,
+                            unsigned class);
 /* Adds the time that a request of CLASS took a slot of an unsaturated server,
    in milliseconds.  */
 void bl_class_load_add_work (struct bl_class_load *load,
--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -44,6 +44,7 @@
   d->ops = *ops;
   d->ctx = ctx;
   d->random.state = s->random_seed;
+  d->link_budget.bytes_per_s = s->link_bytes_per_s;
   bl_store_put (d->fleet.store, &s->self, 0);
   return d;
 }
@@ -225,6 +226,7 @@
   };
 
   d->counters[BL_DISPATCH_FORWARDED]++;
+  bl_link_budget_spend (&d->link_budget, d->now, len);
   d->ops.send_to_agent (d->ctx, bl_instance_data_address (to), &link, packet,
                         len);
 }
@@ -406,7 +408,7 @@
   d->now = now;
   if (agent == NULL)
     return;
-  bl_instance_note_message (agent, now);
+  bl_fleet_note_message (&d->fleet, agent, now);
   update_load (agent, link);
   if (f == NULL)
     return;
--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -29,6 +29,7 @@
   size_t seed_count;
   struct bl_addr seeds[BL_SEEDS_MAX]; /* control addresses of balancers */
   const struct bl_balancing_policy *balancing_policy; /* NULL: the default */
+  double link_bytes_per_s; /* bandwidth of the own link; 0: not known */
 };
 
 /* A decision, for the log.  */
@@ -78,6 +79,7 @@
   BL_DISPATCH_MALFORMED,     /* malformed messages */
   BL_DISPATCH_NO_ROOM,       /* flows not tracked because the table was full or
                                 memory ran out */
+  BL_DISPATCH_LINK_FULL,     /* flows refused because the own link is full */
   BL_DISPATCH_COUNTERS,
 };
 
--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -4,6 +4,7 @@
 #define BL_DISPATCH_INNER_H
 
 #include "core/dispatch.h"
+#include "core/link_budget.h"
 #include "core/msg.h"
 
 #include <uthash.h>
@@ -107,6 +108,7 @@
   uint64_t now; /* time of the current call */
   uint64_t started_ms;
   struct bl_fleet fleet;
+  struct bl_link_budget link_budget;
   struct bl_route_table *table;    /* owned; NULL until routes are configured */
   struct bl_tracked_flow *flows;   /* owned; hash table by key */
   struct bl_tracked_flow *pending; /* list of flows that have a time-out
--- a/core/dispatch_lookup.c
+++ b/core/dispatch_lookup.c
@@ -78,6 +78,7 @@
   if (is_queried (&f->lookup, agent) || !add_queried (&f->lookup, agent))
     return;
   bl_instance_note_request (agent, d->now);
+  bl_link_budget_spend (&d->link_budget, d->now, 0);
   d->ops.send_to_agent (d->ctx, bl_instance_data_address (agent), &link, NULL,
                         0);
 }
--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -176,7 +176,7 @@
            struct bl_instance *instance,
            const struct bl_msg *msg)
 {
-  bl_instance_note_message (instance, d->now);
+  bl_fleet_note_message (&d->fleet, instance, d->now);
   if (instance->record.kind == BL_KIND_BALANCER)
     {
       instance->config_version = msg->config_version;
--- a/core/dispatch_place.c
+++ b/core/dispatch_place.c
@@ -131,6 +131,12 @@
   if (f == NULL)
     return;
   d->counters[BL_DISPATCH_PLACED]++;
+  if (!bl_link_budget_has_room (&d->link_budget, d->now))
+    {
+      d->counters[BL_DISPATCH_LINK_FULL]++;
+      refuse (d, f, "link_full");
+      return;
+    }
   bl_tracked_flow_hold (f, raw);
   if (!bl_placement_offer_next (d, f))
     refuse (d, f, "no_backend");
--- a/core/dispatch_state.c
+++ b/core/dispatch_state.c
@@ -23,6 +23,7 @@
   [BL_DISPATCH_DROPPED] = "packets_dropped",
   [BL_DISPATCH_MALFORMED] = "messages_malformed",
   [BL_DISPATCH_NO_ROOM] = "flows_without_room",
+  [BL_DISPATCH_LINK_FULL] = "flows_refused_link_full",
 };
 
 int
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -18,6 +18,10 @@
 
 #include <stdlib.h>
 
+#define REPLY_WEIGHT 0.125 /* of the latest reply time in the mean */
+#define REPLY_FACTOR 4     /* mean reply times added to BL_UNREACHABLE_MS */
+#define REPLY_MAX_MS 2000  /* a longer reply time counts as this */
+
 int
 bl_fleet_init (struct bl_fleet *fleet)
 {
@@ -263,8 +267,18 @@
 }
 
 void
-bl_instance_note_message (struct bl_instance *instance, uint64_t now)
+bl_fleet_note_message (struct bl_fleet *fleet,
+                       struct bl_instance *instance,
+                       uint64_t now)
 {
+  uint64_t reply_ms = instance->unanswered_since_ms > 0
+                          ? now - instance->unanswered_since_ms
+                          : 0;
+
+  if (reply_ms > REPLY_MAX_MS)
+    reply_ms = REPLY_MAX_MS;
+  if (instance->unanswered_since_ms > 0)
+    fleet->reply_ms += REPLY_WEIGHT * ((double)reply_ms - fleet->reply_ms);
   instance->last_message_ms = now;
   instance->unanswered_since_ms = 0;
   instance->suspect = false;
@@ -288,7 +302,8 @@
                                : 0;
 
   instance->suspect = unanswered_ms > BL_SUSPECT_MS;
-  instance->unreachable = unanswered_ms > BL_UNREACHABLE_MS;
+  instance->unreachable = (double)unanswered_ms
+                          > BL_UNREACHABLE_MS + REPLY_FACTOR * fleet->reply_ms;
   if (instance->record.kind != BL_KIND_BACKEND
       || instance->record.state >= BL_STATE_LEFT)
     return;
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -55,7 +55,8 @@
 };
 
 /* Time that a request may stay unanswered until its instance is suspect, and
-   until the instance is unreachable.  */
+   until the instance is unreachable.  The latter is longer while all replies
+   are slow.  */
 #define BL_SUSPECT_MS     150
 #define BL_UNREACHABLE_MS 1000
 /* An instance that stops in order to restart does not count as gone for this
@@ -73,6 +74,7 @@
   size_t unreachable_count;
   size_t suspect_count;
   size_t responsive_count; /* not suspect, message within BL_UNREACHABLE_MS */
+  double reply_ms;         /* mean time until a message follows a request */
   bool isolated;           /* this process seems cut off from the network */
 };
 
@@ -95,7 +97,9 @@
    stop that it announced.  */
 bool bl_instance_is_gone (const struct bl_instance *instance, uint64_t now);
 /* Records the receipt of a message of INSTANCE, which clears suspicion.  */
-void bl_instance_note_message (struct bl_instance *instance, uint64_t now);
+void bl_fleet_note_message (struct bl_fleet *fleet,
+                            struct bl_instance *instance,
+                            uint64_t now);
 /* Records a request to INSTANCE, which starts the time-outs unless an earlier
    request is unanswered.  */
 void bl_instance_note_request (struct bl_instance *instance, uint64_t now);
--- a/core/passthrough.c
+++ b/core/passthrough.c
@@ -372,7 +372,7 @@
   if (reason != BL_REASON_NONE)
     {
       if (reason == BL_REASON_FULL)
-        bl_class_load_arrived (&pass->load, pass->now, class);
+        bl_class_load_refused (&pass->load, pass->now, class);
       refuse (pass, from, &packet->key, reason);
       return;
     }
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -43,9 +43,10 @@
 #define LEAVING_QUIET_MS 500
 /* Parts of the grace period that are reserved for an orderly leave, and for
    ending the threads.  */
-#define LEAVE_MARGIN_MS 2700
-#define EXIT_MARGIN_MS  1000
-#define GRACE_DEFAULT_S 6 /* if --stop-grace-s is 0 */
+#define LEAVE_MARGIN_MS     2700
+#define EXIT_MARGIN_MS      1000
+#define BYTES_PER_S_OF_MBPS 125000
+#define GRACE_DEFAULT_S     6 /* if --stop-grace-s is 0 */
 
 struct dispatcher;
 
@@ -504,6 +505,7 @@
   struct bl_dispatch_settings settings = {
     .random_seed = s->random_seed,
     .seed_count = s->seed_count,
+    .link_bytes_per_s = s->link_mbps * BYTES_PER_S_OF_MBPS,
   };
 
   d->self = (struct bl_record){
--- a/daemon/settings.c
+++ b/daemon/settings.c
@@ -21,6 +21,7 @@
 #define GRACE_MAX_S         86400
 #define ENV_NAME_MAX_BYTES  64
 #define HEARTBEAT_MAX_MS    60000
+#define LINK_MAX_MBPS       1000000
 #define LOG_LINES_MAX_S     100000
 #define CLOCK_OFFSET_MAX_MS 3600000 /* an hour */
 /* With the ip transport agents terminate TCP connections; with the datagram
@@ -46,7 +47,7 @@
   const char *default_value; /* "": none */
   option_reader *read;
   size_t offset;     /* of the value in struct settings */
-  unsigned long max; /* for read_number */
+  unsigned long max; /* for read_number and read_decimal */
   const char *help;
 };
 
@@ -54,6 +55,7 @@
 static option_reader read_ip;
 static option_reader read_addr;
 static option_reader read_number;
+static option_reader read_decimal;
 static option_reader read_seeds;
 static option_reader read_text;
 static option_reader read_level;
@@ -108,6 +110,10 @@
     "address of the platform's object store" },
   { "link-port", ROLE_DISPATCHER, true, "", read_number, OFFSET (link_port),
     65535, "UDP port for agents' messages about flows" },
+  { "link-mbps", ROLE_DISPATCHER, false, "0", read_decimal, OFFSET (link_mbps),
+    LINK_MAX_MBPS,
+    "bandwidth of the instance in Mbit/s, beyond which new flows are refused; "
+    "0: not known" },
   { "heartbeat-ms", ROLE_PASSTHROUGH, false, "1000", read_number,
     OFFSET (heartbeat_ms), HEARTBEAT_MAX_MS,
     "milliseconds between two heartbeats of the backend server" },
@@ -203,6 +209,28 @@
   add_finding (o, f, expected, text);
 }
 
+static void
+read_decimal (const struct option *o,
+              void *target,
+              const char *text,
+              struct bl_findings *f)
+{
+  char expected[64];
+  char *end;
+  double value;
+
+  errno = 0;
+  value = strtod (text, &end);
+  if (isdigit ((unsigned char)text[0]) && *end == '\0' && errno == 0
+      && value <= (double)o->max)
+    {
+      memcpy (target, &value, sizeof value);
+      return;
+    }
+  snprintf (expected, sizeof expected, "a number from 0 to %lu", o->max);
+  add_finding (o, f, expected, text);
+}
+
 static void
 read_seeds (const struct option *o,
             void *target,
--- a/daemon/settings.h
+++ b/daemon/settings.h
@@ -48,6 +48,7 @@
   struct bl_addr heartbeats;     /* datagram: HTTP, from the backend server */
   struct bl_addr store;          /* datagram: the platform's object store */
   unsigned long link_port;       /* datagram: UDP, messages about flows */
+  double link_mbps;              /* datagram: bandwidth of the own link */
   unsigned long heartbeat_ms;    /* datagram: interval of heartbeats */
   unsigned long log_lines_s;     /* datagram: log lines a second per event */
   char *reload_file;             /* datagram: read at SIGHUP; NULL: none */
