Count refused flows in full; let the excess of others take no places

Hypothesis: (1) a refused flow is one request of demand; (2) requests on open flows of a less urgent class should not fill the places of a more urgent one.

--- a/core/class_load.c
+++ b/core/class_load.c
@@ -18,8 +18,8 @@
 #define QUEUE_REQUESTS    6    /* queued at a server, which may shed more */
 #define ARRIVAL_WINDOW_MS 1000 /* time constant of the decay */
 #define WORK_WEIGHT       0.05 /* of the latest request in the mean */
-#define REFUSED_WEIGHT    0.25 /* requests; balancers offer a flow four times */
-#define RESERVE_MAX       0.9  /* of the places; the rest is for any class */
+#define REFUSED_WEIGHT    1.0
+#define RESERVE_MAX       0.9 /* of the places; the rest is for any class */
 
 unsigned
 bl_class_of (uint8_t priority)
@@ -77,6 +77,20 @@
   return slots;
 }
 
+/* The part of PLACES that CLASS and the less urgent ones may take.  */
+static double
+places_of (struct bl_class_load *load,
+           uint64_t now,
+           uint32_t slots,
+           unsigned class)
+{
+  double reserved = bl_class_load_reserve (load, now, class) / slots;
+
+  if (reserved > RESERVE_MAX)
+    reserved = RESERVE_MAX;
+  return (slots + QUEUE_REQUESTS) * (1 - reserved);
+}
+
 bool
 bl_class_load_admits (struct bl_class_load *load,
                       uint64_t now,
@@ -84,16 +98,18 @@
                       unsigned class)
 {
   double places = slots + QUEUE_REQUESTS;
-  double share = bl_class_load_reserve (load, now, class) / slots;
-  uint32_t all = 0;
-  uint32_t same = 0; /* of this class and less urgent ones */
+  double less_urgent_places = places_of (load, now, slots, class + 1);
+  double same = load->classes[class].in_progress;
+  double more_urgent = 0;
+  double less_urgent = 0;
 
-  for (unsigned i = 0; i < BL_CLASS_COUNT; i++)
-    {
-      all += load->classes[i].in_progress;
-      same += i >= class ? load->classes[i].in_progress : 0;
-    }
-  if (share > RESERVE_MAX)
-    share = RESERVE_MAX;
-  return all < places && same < places * (1 - share);
+  for (unsigned i = 0; i < class; i++)
+    more_urgent += load->classes[i].in_progress;
+  for (unsigned i = class + 1; i < BL_CLASS_COUNT; i++)
+    less_urgent += load->classes[i].in_progress;
+  if (same + less_urgent >= places_of (load, now, slots, class))
+    return false;
+  if (less_urgent > less_urgent_places)
+    less_urgent = less_urgent_places;
+  return more_urgent + same + less_urgent < places;
 }
