Refuse flows of a less urgent class whose open flows use up the rest

Hypothesis: the number of requests in progress at one moment says little about a class that keeps its flows: each flow admitted brings further requests, which cannot be refused. Change: a less urgent class gets no new flow while its own requests and those of the more urgent classes already need all slots.

--- a/core/class_load.c
+++ b/core/class_load.c
@@ -18,8 +18,8 @@
 #define QUEUE_REQUESTS    6    /* queued at a server, which may shed more */
 #define ARRIVAL_WINDOW_MS 1000 /* time constant of the decay */
 #define WORK_WEIGHT       0.05 /* of the latest request in the mean */
-#define REFUSED_WEIGHT    1.0
-#define RESERVE_MAX       0.9 /* of the places; the rest is for any class */
+#define FULL_LOAD         1.0  /* of the slots */
+#define RESERVE_MAX       0.9  /* of the places; the rest is for any class */
 
 unsigned
 bl_class_of (uint8_t priority)
@@ -36,7 +36,10 @@
     return;
   factor = exp (-(double)(now - load->decayed_ms) / ARRIVAL_WINDOW_MS);
   for (unsigned i = 0; i < BL_CLASS_COUNT; i++)
-    load->classes[i].arrivals *= factor;
+    {
+      load->classes[i].arrivals *= factor;
+      load->classes[i].refused *= factor;
+    }
   load->decayed_ms = now;
 }
 
@@ -51,7 +54,7 @@
 bl_class_load_refused (struct bl_class_load *load, uint64_t now, unsigned class)
 {
   decay (load, now);
-  load->classes[class].arrivals += REFUSED_WEIGHT;
+  load->classes[class].refused++;
 }
 
 void
@@ -65,6 +68,13 @@
     c->work_ms += WORK_WEIGHT * ((double)ms - c->work_ms);
 }
 
+/* The slots that REQUESTS within ARRIVAL_WINDOW_MS of class C need.  */
+static double
+slots_of (const struct bl_class *c, double requests)
+{
+  return requests / ARRIVAL_WINDOW_MS * c->work_ms;
+}
+
 double
 bl_class_load_reserve (struct bl_class_load *load, uint64_t now, unsigned class)
 {
@@ -72,11 +82,27 @@
 
   decay (load, now);
   for (unsigned i = 0; i < class; i++)
-    slots += load->classes[i].arrivals / ARRIVAL_WINDOW_MS
-             * load->classes[i].work_ms;
+    slots += slots_of (&load->classes[i],
+                       load->classes[i].arrivals + load->classes[i].refused);
   return slots;
 }
 
+/* Returns true if the requests that CLASS and the less urgent classes send on
+   their open flows take all slots that the more urgent ones leave.  */
+static bool
+is_used_up (struct bl_class_load *load,
+            uint64_t now,
+            uint32_t slots,
+            unsigned class)
+{
+  double reserve = bl_class_load_reserve (load, now, class);
+  double used = 0;
+
+  for (unsigned i = class; i < BL_CLASS_COUNT; i++)
+    used += slots_of (&load->classes[i], load->classes[i].arrivals);
+  return reserve > 0 && reserve + used >= FULL_LOAD * slots;
+}
+
 /* The part of PLACES that CLASS and the less urgent ones may take.  */
 static double
 places_of (struct bl_class_load *load,
@@ -107,7 +133,8 @@
     more_urgent += load->classes[i].in_progress;
   for (unsigned i = class + 1; i < BL_CLASS_COUNT; i++)
     less_urgent += load->classes[i].in_progress;
-  if (same + less_urgent >= places_of (load, now, slots, class))
+  if (same + less_urgent >= places_of (load, now, slots, class)
+      || is_used_up (load, now, slots, class))
     return false;
   if (less_urgent > less_urgent_places)
     less_urgent = less_urgent_places;
--- a/core/class_load.h
+++ b/core/class_load.h
@@ -16,6 +16,7 @@
 {
   uint32_t in_progress; /* requests, and flows whose first request is due */
   double arrivals;      /* requests that have arrived, decaying */
+  double refused;       /* flows that were refused, decaying */
   double work_ms;       /* mean time that a request takes a slot; 0: unknown */
 };
 
