--- a/core/class_load.c
+++ b/core/class_load.c
@@ -133,10 +133,11 @@
     more_urgent += load->classes[i].in_progress;
   for (unsigned i = class + 1; i < BL_CLASS_COUNT; i++)
     less_urgent += load->classes[i].in_progress;
-  if (same + less_urgent >= places_of (load, now, slots, class)
-      || is_used_up (load, now, slots, class))
-    return false;
+  /* Requests on open flows of less urgent classes may exceed their part; the
+     excess takes no places of this class.  */
   if (less_urgent > less_urgent_places)
     less_urgent = less_urgent_places;
-  return more_urgent + same + less_urgent < places;
+  return same + less_urgent < places_of (load, now, slots, class)
+         && more_urgent + same + less_urgent < places
+         && !is_used_up (load, now, slots, class);
 }
