Admission by class as kept: one condition for each part

The reserve is capped in both conditions, so that a class is not refused for ever while another one demands all slots.

--- a/core/class_load.c
+++ b/core/class_load.c
@@ -6,10 +6,12 @@
    open flows would get only what the others leave.
 
    A new flow is admitted while the requests in progress fill no more than the
-   slots and a short queue.  Of these places, the more urgent classes keep the
-   share that their requests need: their rate of arrival, times the time that
-   one takes a slot.  The share follows the arrivals within ARRIVAL_WINDOW_MS,
-   so nothing is kept for a class that is absent.  */
+   slots and a short queue.  The more urgent classes keep a part of both: the
+   slots that their requests need, which is their rate of arrival times the time
+   that one takes a slot.  A flow that is kept open brings further requests, so
+   a less urgent class gets no new flow either while its requests already use
+   all slots that the more urgent classes leave.  The rates are those of the
+   last ARRIVAL_WINDOW_MS, so nothing is kept for a class that is absent.  */
 
 #include "core/class_load.h"
 
@@ -18,8 +20,7 @@
 #define QUEUE_REQUESTS    6    /* queued at a server, which may shed more */
 #define ARRIVAL_WINDOW_MS 1000 /* time constant of the decay */
 #define WORK_WEIGHT       0.05 /* of the latest request in the mean */
-#define FULL_LOAD         1.0  /* of the slots */
-#define RESERVE_MAX       0.9  /* of the places; the rest is for any class */
+#define RESERVE_MAX       0.9  /* of the slots; the rest is for any class */
 
 unsigned
 bl_class_of (uint8_t priority)
@@ -87,57 +88,28 @@
   return slots;
 }
 
-/* Returns true if the requests that CLASS and the less urgent classes send on
-   their open flows take all slots that the more urgent ones leave.  */
-static bool
-is_used_up (struct bl_class_load *load,
-            uint64_t now,
-            uint32_t slots,
-            unsigned class)
-{
-  double reserve = bl_class_load_reserve (load, now, class);
-  double used = 0;
-
-  for (unsigned i = class; i < BL_CLASS_COUNT; i++)
-    used += slots_of (&load->classes[i], load->classes[i].arrivals);
-  return reserve > 0 && reserve + used >= FULL_LOAD * slots;
-}
-
-/* The part of PLACES that CLASS and the less urgent ones may take.  */
-static double
-places_of (struct bl_class_load *load,
-           uint64_t now,
-           uint32_t slots,
-           unsigned class)
-{
-  double reserved = bl_class_load_reserve (load, now, class) / slots;
-
-  if (reserved > RESERVE_MAX)
-    reserved = RESERVE_MAX;
-  return (slots + QUEUE_REQUESTS) * (1 - reserved);
-}
-
 bool
 bl_class_load_admits (struct bl_class_load *load,
                       uint64_t now,
                       uint32_t slots,
                       unsigned class)
 {
+  double reserve = bl_class_load_reserve (load, now, class);
   double places = slots + QUEUE_REQUESTS;
-  double less_urgent_places = places_of (load, now, slots, class + 1);
-  double same = load->classes[class].in_progress;
-  double more_urgent = 0;
-  double less_urgent = 0;
+  double used = 0; /* slots, by requests of this and less urgent classes */
+  uint32_t all = 0;
+  uint32_t same = 0; /* of this class and less urgent ones */
 
-  for (unsigned i = 0; i < class; i++)
-    more_urgent += load->classes[i].in_progress;
-  for (unsigned i = class + 1; i < BL_CLASS_COUNT; i++)
-    less_urgent += load->classes[i].in_progress;
-  /* Requests on open flows of less urgent classes may exceed their part; the
-     excess takes no places of this class.  */
-  if (less_urgent > less_urgent_places)
-    less_urgent = less_urgent_places;
-  return same + less_urgent < places_of (load, now, slots, class)
-         && more_urgent + same + less_urgent < places
-         && !is_used_up (load, now, slots, class);
+  if (reserve > RESERVE_MAX * slots)
+    reserve = RESERVE_MAX * slots;
+  for (unsigned i = 0; i < BL_CLASS_COUNT; i++)
+    all += load->classes[i].in_progress;
+  for (unsigned i = class; i < BL_CLASS_COUNT; i++)
+    {
+      same += load->classes[i].in_progress;
+      used += slots_of (&load->classes[i], load->classes[i].arrivals);
+    }
+  if (reserve > 0 && reserve + used >= slots)
+    return false;
+  return all < places && same < places * (1 - reserve / slots);
 }
