Wait for a restarting agent that is known only by its record

Cause: a balancer that starts while an agent restarts knows the agent only by its record; the 8 s for which it is waited for counted from its last message, and there was none, so after 1 s without a reply flows of its server were reset as denied by all. Change: the time counts from the receipt of the record, if that is later.

--- a/core/fleet.c
+++ b/core/fleet.c
@@ -248,6 +248,7 @@
       instance->suspect = false;
     }
   instance->record = *record;
+  instance->record_ms = now;
   instance->service = bl_name_hash (&record->service, 0);
   if (record->state == BL_STATE_READY && instance->warm_up_start_ms == 0)
     instance->warm_up_start_ms = now;
@@ -260,8 +261,11 @@
 bool
 bl_instance_is_gone (const struct bl_instance *instance, uint64_t now)
 {
+  uint64_t known_ms = instance->last_message_ms > instance->record_ms
+                          ? instance->last_message_ms
+                          : instance->record_ms;
   bool restarting = instance->record.state == BL_STATE_STARTING
-                    && now - instance->last_message_ms < BL_RESTART_MAX_MS;
+                    && now - known_ms < BL_RESTART_MAX_MS;
 
   return instance->unreachable && !restarting;
 }
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -35,6 +35,7 @@
   struct bl_record record;
   uint64_t service;             /* hash of the service's name */
   uint64_t backend_start;       /* start of the backend server; 0: not known */
+  uint64_t record_ms;           /* receipt of its record */
   uint64_t last_message_ms;     /* receipt of its last message; 0: none */
   uint64_t unanswered_since_ms; /* oldest unanswered request; 0: none */
   uint64_t status_request_ms;   /* sending of the last status request */
@@ -60,7 +61,7 @@
 #define BL_SUSPECT_MS     150
 #define BL_UNREACHABLE_MS 1000
 /* An instance that stops in order to restart does not count as gone for this
-   long after its last message.  */
+   long after its last message, or the receipt of its record.  */
 #define BL_RESTART_MAX_MS 8000
 
 struct bl_fleet
