--- a/examples/deploy.sh
+++ b/examples/deploy.sh
@@ -33,6 +33,13 @@
   wait "${PID_OF[$1]}" 2>/dev/null
 }
 
+# kill_now NAME: kills a process and waits for its end, so that its addresses can
+# be used again
+kill_now () {
+  kill -KILL "${PID_OF[$1]}"
+  wait "${PID_OF[$1]}" 2>/dev/null
+}
+
 # stop_all: kills all background processes.  Only running jobs are killed, since
 # the id of a process that has ended may have been reused.
 stop_all () {
--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -46,10 +46,10 @@
 restart_agent () { start_passthrough "$1" "dc$((1 + RANDOM % 3))" web; }
 restart_balancer () { start_dispatcher "$1" "dc${1#b}"; }
 
-kill_agent () { kill -KILL "${PID_OF[$1-agent]}"; sleep 0.$((RANDOM % 9)); restart_agent "$1"; }
+kill_agent () { kill_now "$1-agent"; sleep 0.$((RANDOM % 9)); restart_agent "$1"; }
 stop_agent () { stop "$1-agent"; restart_agent "$1"; }
 pause () { kill -STOP "${PID_OF[$1]}"; sleep "$2"; kill -CONT "${PID_OF[$1]}"; }
-crash_server () { kill -KILL "${PID_OF[$1-server]}"; sleep 0.$((RANDOM % 9)); start_server "$1" dc1 web; }
+crash_server () { kill_now "$1-server"; sleep 0.$((RANDOM % 9)); start_server "$1" dc1 web; }
 drain_server () { stop "$1-server"; start_server "$1" dc1 web; }
 
 last_octet () { echo "${IP_OF[$1]##*.}"; }
--- a/test/process_datagram.sh
+++ b/test/process_datagram.sh
@@ -38,10 +38,10 @@
 callers outage --users 20 --requests 40 --once 4 --seed 5
 sleep 0.5
 for id in w1 w3 w4 w5; do
-  kill -KILL "${PID_OF[$id-agent]}"
+  kill_now "$id-agent"
   start_passthrough $id dc1 web
 done
-kill -KILL "${PID_OF[b2]}"
+kill_now b2
 start_dispatcher b2 dc2
 wait_for 10 dispatcher_ready b2 || fail "b2 is not ready without the store"
 wait "${PID_OF[outage]}" || fail "outage: $(cat "$RUN/outage.out")"
