--- a/ctl/change.c
+++ b/ctl/change.c
@@ -20,8 +20,7 @@
 #include <unistd.h>
 
 #define ATTEMPTS_MAX 20 /* of a repeated call, and of a whole change */
-#define READS_MAX    6  /* of the root, while a part that it references is gone \
-                         */
+#define READS_MAX    6  /* of a root that references a missing part */
 
 /* A change that is being made, over all attempts.  */
 struct pending_change
