boragelatchctl: no partial services, no retries of a refused root

Ruled out for the reads: a short outage; a part that stays missing after six reads of the root is lost. Change: all parts or exit status 4; a missing part makes the root be read again; a refused root ends the change with status 2 and its parts are deleted. Test: process_platform, with the levers hide_parts and refuse_root, fails first at both ("show services without a part" exit 0; "accepted" after a repeated write).

--- a/ctl/change.c
+++ b/ctl/change.c
@@ -20,7 +20,6 @@
 #include <unistd.h>
 
 #define ATTEMPTS_MAX 20 /* of a repeated call, and of a whole change */
-#define READS_MAX    6  /* of a root that references a missing part */
 
 /* A change that is being made, over all attempts.  */
 struct pending_change
@@ -145,7 +144,7 @@
   enum ctl_exit status = CTL_OK;
   bool missing = false;
 
-  for (unsigned i = 1; i <= READS_MAX; i++)
+  for (unsigned i = 1; i <= CTL_ROOT_READS_MAX; i++)
     {
       missing = false;
       status = read_root (p);
@@ -270,6 +269,16 @@
           status = CTL_OK;
           break;
         }
+      if (result == IO_KV_REFUSED)
+        {
+          fprintf (stderr,
+                   "the platform at %s refuses the root; nothing was "
+                   "changed\n",
+                   p->ctl->platform);
+          read_root (p);
+          status = CTL_REFUSED;
+          break;
+        }
       if (result == IO_KV_CONFLICT)
         {
           /* The root may have been changed by an earlier attempt, the
@@ -400,7 +409,7 @@
       print_accepted (p);
       delete_unreferenced_parts (p, p->replaced_keys);
     }
-  if (status == CTL_CONFLICT)
+  if (status == CTL_CONFLICT || status == CTL_REFUSED)
     delete_unreferenced_parts (p, p->written_keys);
   return status;
 }
--- a/ctl/ctl.h
+++ b/ctl/ctl.h
@@ -8,6 +8,10 @@
 
 #include <jansson.h>
 
+/* Reads of a root that references a missing part, until the part is taken to be
+   lost.  */
+#define CTL_ROOT_READS_MAX 6
+
 /* The exit status of the program.  */
 enum ctl_exit
 {
--- a/ctl/query.c
+++ b/ctl/query.c
@@ -211,45 +211,82 @@
 
 /* -- configuration -- */
 
-/* Reads ROOT and returns a JSON array of all services, or NULL if the root
-   could not be read or parsed.  Parts that cannot be read are left out.  */
-static json_t *
-read_config (const struct ctl *ctl, struct bl_root *root)
+/* Reads the root; if there is none, ROOT is empty.  */
+static enum io_kv_result
+read_root (struct io_kv *kv, struct bl_root *root)
 {
-  struct io_kv *p = io_kv_new (ctl->platform, io_wall_ms ());
   struct io_object object = { .len = 0 };
   struct bl_findings findings = { .count = 0 };
-  json_t *services = NULL;
+  enum io_kv_result result = io_kv_get (kv, BL_ROOT_KEY, &object);
 
   memset (root, 0, sizeof *root);
-  switch (io_kv_get (p, BL_ROOT_KEY, &object))
-    {
-    case IO_KV_NOT_FOUND:
-      services = json_array ();
-      break;
-    case IO_KV_OK:
-      if (bl_root_parse (root, (struct bl_str){ object.text, object.len },
-                         &findings)
-          == BL_OK)
-        services = json_array ();
-      break;
-    default:
-      break;
-    }
-  for (size_t i = 0; services != NULL && i < BL_ROOT_PARTS; i++)
+  if (result == IO_KV_OK
+      && bl_root_parse (root, (struct bl_str){ object.text, object.len },
+                        &findings)
+             != BL_OK)
+    result = IO_KV_REFUSED;
+  io_object_clear (&object);
+  io_print_findings (&findings);
+  return result == IO_KV_NOT_FOUND ? IO_KV_OK : result;
+}
+
+/* Appends the services of all parts of ROOT to the JSON array SERVICES. Returns
+   IO_KV_NOT_FOUND if a part is missing, because a change accepted since ROOT
+   was read has replaced it.  */
+static enum io_kv_result
+read_parts (struct io_kv *kv, const struct bl_root *root, json_t *services)
+{
+  struct io_object object = { .len = 0 };
+  enum io_kv_result result = IO_KV_OK;
+
+  for (size_t i = 0; i < BL_ROOT_PARTS && result == IO_KV_OK; i++)
     {
       json_t *part;
-      if (root->parts[i].key[0] == '\0'
-          || io_kv_get (p, root->parts[i].key, &object) != IO_KV_OK)
+      if (root->parts[i].key[0] == '\0')
         continue;
+      result = io_kv_get (kv, root->parts[i].key, &object);
+      if (result != IO_KV_OK)
+        break;
       part = json_loadb (object.text, object.len, 0, NULL);
-      json_array_extend (services, part);
+      if (json_array_extend (services, part) != 0)
+        result = IO_KV_REFUSED;
       json_decref (part);
     }
   io_object_clear (&object);
-  io_kv_free (p);
-  io_print_findings (&findings);
-  return services;
+  return result;
+}
+
+/* Reads the configuration.  Returns a JSON array of all services, or NULL and a
+   message to standard error if a part of it cannot be read.  */
+static json_t *
+read_services (const struct ctl *ctl)
+{
+  struct io_kv *kv = io_kv_new (ctl->platform, io_wall_ms ());
+  struct bl_root *root = malloc (sizeof *root);
+  json_t *services = json_array ();
+  enum io_kv_result result = IO_KV_NOT_FOUND;
+
+  for (unsigned i = 1; result == IO_KV_NOT_FOUND && i <= CTL_ROOT_READS_MAX;
+       i++)
+    {
+      if (i > 1)
+        usleep (io_kv_backoff_ms (kv, i) * 1000);
+      json_array_clear (services);
+      result = read_root (kv, root);
+      if (result == IO_KV_OK)
+        result = read_parts (kv, root, services);
+    }
+  free (root);
+  io_kv_free (kv);
+  if (result == IO_KV_OK)
+    return services;
+  fprintf (stderr,
+           result == IO_KV_UNKNOWN
+               ? "the platform at %s did not answer\n"
+               : "the configuration at %s is incomplete or not valid\n",
+           ctl->platform);
+  json_decref (services);
+  return NULL;
 }
 
 static void
@@ -295,30 +332,41 @@
             root->recent[i].id.s, root->recent[i].by.s, root->recent[i].what);
 }
 
-/* Prints the recent changes if CHANGES is true, or else the services.  */
 static enum ctl_exit
-show_config (const struct ctl *ctl, bool changes)
+show_changes (const struct ctl *ctl)
 {
+  struct io_kv *kv = io_kv_new (ctl->platform, io_wall_ms ());
   struct bl_root *root = malloc (sizeof *root);
-  json_t *services = read_config (ctl, root);
+  bool read = read_root (kv, root) == IO_KV_OK;
 
-  if (services == NULL)
+  if (!read)
     fprintf (stderr, "the platform at %s did not answer\n", ctl->platform);
-  else if (changes && ctl->json)
+  else if (ctl->json)
     {
       char *text = bl_root_format (root);
       printf ("%s\n", text);
       free (text);
     }
-  else if (changes)
+  else
     print_changes (root);
-  else if (ctl->json)
+  free (root);
+  io_kv_free (kv);
+  return read ? CTL_OK : CTL_UNREACHABLE;
+}
+
+static enum ctl_exit
+show_services (const struct ctl *ctl)
+{
+  json_t *services = read_services (ctl);
+
+  if (services == NULL)
+    return CTL_UNREACHABLE;
+  if (ctl->json)
     print_json (services);
   else
     print_services (services);
-  free (root);
   json_decref (services);
-  return services != NULL ? CTL_OK : CTL_UNREACHABLE;
+  return CTL_OK;
 }
 
 enum ctl_exit
@@ -327,9 +375,9 @@
   if (ctl->store[0] != '\0')
     return ctl_store_show (ctl, what);
   if (strcmp (what, "services") == 0)
-    return show_config (ctl, false);
+    return show_services (ctl);
   if (strcmp (what, "changes") == 0)
-    return show_config (ctl, true);
+    return show_changes (ctl);
   if (strcmp (what, "balancers") == 0)
     return show_balancers (ctl);
   if (strcmp (what, "backends") == 0)
@@ -420,15 +468,13 @@
 enum ctl_exit
 ctl_wait (const struct ctl *ctl, uint64_t version)
 {
-  struct bl_root *root = malloc (sizeof *root);
-  json_t *services = read_config (ctl, root);
+  json_t *services = read_services (ctl);
   uint64_t deadline_ms = io_now_ms () + (uint64_t)ctl->timeout_s * 1000;
   struct progress printed = { .balancers = SIZE_MAX };
   struct progress p;
-  bool done;
+  bool done = false;
 
-  free (root);
-  for (;;)
+  while (services != NULL)
     {
       done = check_progress (ctl, services, version, &p);
       if (memcmp (&p, &printed, sizeof p) != 0)
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -7,6 +7,7 @@
      lose_answers=N       the next N writes take effect but get no response
      hide_parts=N         the next N reads of parts of the configuration find
                           none
+     refuse_root=N        the next N writes of the root are refused
    GET /stats reports the number of calls; a watch counts as one call.  */
 
 #include <civetweb.h>
@@ -25,6 +26,7 @@
 
 #define KEY_MAX_BYTES   256 /* with the terminating zero */
 #define VALUE_MAX_BYTES (1024 * 1024)
+#define ROOT_KEY        "config/root"
 #define PART_PREFIX     "config/part-"
 #define PART_PREFIX_LEN (sizeof PART_PREFIX - 1)
 
@@ -47,6 +49,7 @@
   int slow_ms;
   int lose_answers; /* writes left that get no response */
   int hide_parts;   /* reads of parts left that find none */
+  int refuse_root;  /* writes of the root left that are refused */
   uint64_t reads;
   uint64_t writes;
   uint64_t watches;
@@ -233,6 +236,13 @@
     return respond (conn, 413, 0, "", 0);
   pthread_mutex_lock (&state.mutex);
   state.writes++;
+  if (state.refuse_root > 0 && strcmp (key, ROOT_KEY) == 0)
+    {
+      state.refuse_root--;
+      pthread_mutex_unlock (&state.mutex);
+      free (body);
+      return respond (conn, 413, 0, "", 0);
+    }
   o = find_object (key);
   if (!precondition_holds (conn, o))
     {
@@ -312,6 +322,8 @@
   state.slow_ms = (int)query_number (info, "slow_ms", state.slow_ms);
   state.lose_answers
       = (int)query_number (info, "lose_answers", state.lose_answers);
+  state.refuse_root
+      = (int)query_number (info, "refuse_root", state.refuse_root);
   state.hide_parts = (int)query_number (info, "hide_parts", state.hide_parts);
   pthread_cond_broadcast (&state.changed);
   pthread_mutex_unlock (&state.mutex);
--- a/test/process_platform.sh
+++ b/test/process_platform.sh
@@ -44,7 +44,17 @@
 ctl --backend intake-desk-2 weigh intake-desk 66 >"$RUN/missing" 2>&1
 [ $? = 4 ] || fail "a missing part: $(cat "$RUN/missing")"
 grep -q 'does not exist' "$RUN/missing" || fail "not named: $(cat "$RUN/missing")"
+
+# Services of which a part cannot be read are not shown without the others.
+ctl show services >"$RUN/shown" 2>&1
+[ $? = 4 ] || fail "show services without a part: $(cat "$RUN/shown")"
 fault hide_parts=0
+ctl show services | grep -q intake-desk || fail "show services"
+
+# The platform refuses the root: the change is refused, and nothing is left of it.
+fault refuse_root=1
+ctl --backend intake-desk-2 weigh intake-desk 66 >"$RUN/refused" 2>&1
+[ $? = 2 ] || fail "a refused root: $(cat "$RUN/refused")"
 
 # A change is accepted as a whole or refused with all findings.
 cat >"$RUN/bad.json" <<'J'
