--- a/core/class_load.h
+++ b/core/class_load.h
@@ -45,7 +45,8 @@
 double bl_class_load_reserve (struct bl_class_load *load,
                               uint64_t now,
                               unsigned class);
-/* Returns true if a server with SLOTS slots takes one more flow of CLASS.  */
+/* Returns true if a server with SLOTS slots, at least 1, takes one more flow of
+   CLASS.  */
 bool bl_class_load_admits (struct bl_class_load *load,
                            uint64_t now,
                            uint32_t slots,
--- a/core/passthrough.c
+++ b/core/passthrough.c
@@ -106,6 +106,7 @@
   pass->load.classes[f->class].in_progress += awaiting ? 1 : -1;
 }
 
+/* Moves F and its request in progress to another class.  */
 static void
 set_class (struct bl_passthrough *pass,
            struct bl_passthrough_flow *f,
@@ -130,6 +131,7 @@
   pass->load.classes[f->class].in_progress--;
 }
 
+/* Counts a request of F, and starts its time unless one is in progress.  */
 static void
 begin_request (struct bl_passthrough *pass, struct bl_passthrough_flow *f)
 {
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -360,102 +360,114 @@
   SERVER_RST,
 };
 
-/* Guards against backend servers that are taken to be busy while they are idle,
-   so that callers are refused without need: copies of answered requests,
-   requests that still arrive, and callers that have left take no slot.  */
+/* A packet of the caller, or of the backend server.  */
+struct flow_packet
+{
+  enum packet_kind kind;
+  uint32_t seq;
+  uint16_t len;
+};
+
+static const uint8_t packet_flags[] = { [SYN] = BL_TCP_SYN,
+                                        [PAYLOAD] = BL_TCP_ACK,
+                                        [FIN] = BL_TCP_ACK | BL_TCP_FIN,
+                                        [RST] = BL_TCP_RST,
+                                        [ANSWER] = BL_TCP_ACK,
+                                        [SERVER_FIN] = BL_TCP_ACK | BL_TCP_FIN,
+                                        [SERVER_RST] = BL_TCP_RST };
+
+/* Passes a packet of the flow KEY to the agent.  */
 static void
-test_requests_in_progress (void **state)
+pass_packet (struct bl_passthrough *p,
+             uint64_t now,
+             const struct flow_packet *flow_packet)
 {
-  static const struct
-  {
-    const char *name;
-    struct
-    {
-      enum packet_kind kind;
-      uint32_t seq;
-      uint16_t len;
-    } packets[8];
-    uint32_t want_busy;
-  } cases[] = {
-    { "a request", { { SYN, 9, 0 }, { PAYLOAD, 10, 900 } }, 1 },
-    { "an answered request",
-      { { SYN, 9, 0 }, { PAYLOAD, 10, 900 }, { ANSWER, 1, 300 } },
-      0 },
-    { "a copy of an answered request",
-      { { SYN, 9, 0 },
-        { PAYLOAD, 10, 900 },
-        { ANSWER, 1, 300 },
-        { PAYLOAD, 10, 900 } },
-      0 },
-    { "the next request",
-      { { SYN, 9, 0 },
-        { PAYLOAD, 10, 900 },
-        { ANSWER, 1, 300 },
-        { PAYLOAD, 910, 900 } },
-      1 },
-    { "a request that still arrives",
-      { { SYN, 9, 0 },
-        { PAYLOAD, 10, FULL_PAYLOAD },
-        { PAYLOAD, 1210, FULL_PAYLOAD } },
-      0 },
-    { "a long request that has arrived",
-      { { SYN, 9, 0 },
-        { PAYLOAD, 10, FULL_PAYLOAD },
-        { PAYLOAD, 1210, FULL_PAYLOAD },
-        { PAYLOAD, 2410, 20 } },
-      1 },
-    { "a caller that has left",
-      { { SYN, 9, 0 }, { PAYLOAD, 10, 900 }, { RST, 910, 0 } },
-      0 },
-    { "a flow that the server resets",
-      { { SYN, 9, 0 }, { PAYLOAD, 10, 900 }, { SERVER_RST, 1, 0 } },
-      0 },
-    { "a request on a flow that has ended",
-      { { SYN, 9, 0 },
-        { PAYLOAD, 10, 900 },
-        { ANSWER, 1, 300 },
-        { SERVER_FIN, 301, 0 },
-        { PAYLOAD, 910, 900 } },
-      0 },
-    { "a caller that sends no more",
-      { { SYN, 9, 0 }, { PAYLOAD, 10, 900 }, { FIN, 910, 0 } },
-      1 },
-  };
-  static const uint8_t flags[] = { [SYN] = BL_TCP_SYN,
-                                   [PAYLOAD] = BL_TCP_ACK,
-                                   [FIN] = BL_TCP_ACK | BL_TCP_FIN,
-                                   [RST] = BL_TCP_RST,
-                                   [ANSWER] = BL_TCP_ACK,
-                                   [SERVER_FIN] = BL_TCP_ACK | BL_TCP_FIN,
-                                   [SERVER_RST] = BL_TCP_RST };
   struct bl_link_msg link = { .type = BL_LINK_PACKET };
+  struct bl_packet packet = {
+    .key = key,
+    .seq = flow_packet->seq,
+    .flags = packet_flags[flow_packet->kind],
+    .payload_len = flow_packet->len,
+  };
   struct bl_name name;
 
-  (void)state;
   bl_name_set (&name, bl_str_of ("s"));
   link.service = bl_name_hash (&name, 0);
-  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+  if (flow_packet->kind >= ANSWER)
+    bl_passthrough_outgoing (p, now, &packet, (const uint8_t *)&packet,
+                             sizeof packet);
+  else
+    bl_passthrough_link (p, now, balancer, &link, &packet,
+                         (const uint8_t *)&packet, sizeof packet);
+}
+
+static const struct
+{
+  const char *name;
+  struct flow_packet packets[8];
+  uint32_t want_busy;
+} requests[] = {
+  { "a request", { { SYN, 9, 0 }, { PAYLOAD, 10, 900 } }, 1 },
+  { "an answered request",
+    { { SYN, 9, 0 }, { PAYLOAD, 10, 900 }, { ANSWER, 1, 300 } },
+    0 },
+  { "a copy of an answered request",
+    { { SYN, 9, 0 },
+      { PAYLOAD, 10, 900 },
+      { ANSWER, 1, 300 },
+      { PAYLOAD, 10, 900 } },
+    0 },
+  { "the next request",
+    { { SYN, 9, 0 },
+      { PAYLOAD, 10, 900 },
+      { ANSWER, 1, 300 },
+      { PAYLOAD, 910, 900 } },
+    1 },
+  { "a request that still arrives",
+    { { SYN, 9, 0 },
+      { PAYLOAD, 10, FULL_PAYLOAD },
+      { PAYLOAD, 1210, FULL_PAYLOAD } },
+    0 },
+  { "a long request that has arrived",
+    { { SYN, 9, 0 },
+      { PAYLOAD, 10, FULL_PAYLOAD },
+      { PAYLOAD, 1210, FULL_PAYLOAD },
+      { PAYLOAD, 2410, 20 } },
+    1 },
+  { "a caller that has left",
+    { { SYN, 9, 0 }, { PAYLOAD, 10, 900 }, { RST, 910, 0 } },
+    0 },
+  { "a flow that the server resets",
+    { { SYN, 9, 0 }, { PAYLOAD, 10, 900 }, { SERVER_RST, 1, 0 } },
+    0 },
+  { "a request on a flow that has ended",
+    { { SYN, 9, 0 },
+      { PAYLOAD, 10, 900 },
+      { ANSWER, 1, 300 },
+      { SERVER_FIN, 301, 0 },
+      { PAYLOAD, 910, 900 } },
+    0 },
+  { "a caller that sends no more",
+    { { SYN, 9, 0 }, { PAYLOAD, 10, 900 }, { FIN, 910, 0 } },
+    1 },
+};
+
+/* Guards against backend servers that are taken to be busy while they are idle,
+   so that callers are refused without need: copies of answered requests,
+   requests that still arrive, and callers that have left take no slot.  */
+static void
+test_requests_in_progress (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof requests / sizeof requests[0]; i++)
     {
       struct observed observed = { .delivered = 0 };
       struct bl_passthrough *p = new_agent (&observed);
       pass_input (p, 5, &(struct input){ HB_READY, 9, 1 });
-      for (unsigned k = 0; cases[i].packets[k].kind != PACKET_END; k++)
-        {
-          struct bl_packet packet = {
-            .key = key,
-            .seq = cases[i].packets[k].seq,
-            .flags = flags[cases[i].packets[k].kind],
-            .payload_len = cases[i].packets[k].len,
-          };
-          if (cases[i].packets[k].kind >= ANSWER)
-            bl_passthrough_outgoing (p, 10 + k, &packet,
-                                     (const uint8_t *)&packet, sizeof packet);
-          else
-            bl_passthrough_link (p, 10 + k, balancer, &link, &packet,
-                                 (const uint8_t *)&packet, sizeof packet);
-        }
-      if (bl_passthrough_busy (p) != cases[i].want_busy)
-        fail_msg ("%s: %u requests in progress", cases[i].name,
+      for (unsigned k = 0; requests[i].packets[k].kind != PACKET_END; k++)
+        pass_packet (p, 10 + k, &requests[i].packets[k]);
+      if (bl_passthrough_busy (p) != requests[i].want_busy)
+        fail_msg ("%s: %u requests in progress", requests[i].name,
                   bl_passthrough_busy (p));
       bl_passthrough_free (p);
     }
