--- a/review/deploy.sh
+++ b/review/deploy.sh
@@ -170,10 +170,10 @@
     --flows "$1" --times "$2"
 }
 
-# verdict: waits for the clients, completes record.txt and exits: 1 if an open
-# flow was reset while its server lived, 0 if not
-verdict () {
-  local name total
+# wait_for_clients: waits for the clients and completes record.txt; sets TOTAL to
+# their last line
+wait_for_clients () {
+  local name
   wait "${PID_OF[clients]}"
   for name in "${!PID_OF[@]}"; do
     [ "${name%-server}" != "$name" ] || continue
@@ -183,14 +183,20 @@
   done
   sed 's/^/clients: /' "$RUN/clients.out" >>"$RECORD"
   grep -h 'event=reset' "$RUN"/b?.out "$RUN"/b?.log | sed 's/^/log: /' >>"$RECORD"
-  total=$(tail -n 1 "$RUN/clients.out")
-  case $total in
+  TOTAL=$(tail -n 1 "$RUN/clients.out")
+  case $TOTAL in
+    *opened=0*) cannot_run "no flow opened" ;;
     total*) ;;
     *) cannot_run "the clients have failed" ;;
   esac
-  echo "$total"
-  case $total in
-    *opened=0*) cannot_run "no flow opened" ;;
+  echo "$TOTAL"
+}
+
+# verdict: waits for the clients and exits: 1 if an open flow was reset while its
+# server lived, 0 if not
+verdict () {
+  wait_for_clients
+  case $TOTAL in
     *" resets=0 "*) record "verdict: FLOW held"; exit 0 ;;
     *) record "verdict: FLOW broken"; exit 1 ;;
   esac
