review: case 2, an acknowledged configuration is missed after a restore

Cause: followers of the store read no Store-Era and go on from a revision that the restored store has given out again.

--- a/review/deploy.sh
+++ b/review/deploy.sh
@@ -14,6 +14,7 @@
 PACKETS=8172 OUTBOUND=8162 HTTP=8167 HEARTBEATS=8166 APP=8165
 CONTROL=7720 LINK=7735 METRICS=7725 STORE_PORT=8169
 ROUTE=198.18.0.1:443
+STORE=build/standin-store # the program
 declare -A PID_OF IP_OF
 START_MS=$(date +%s%3N)
 
@@ -84,18 +85,24 @@
 }
 
 start_store () {
-  start store build/standin-store --listen "$NET.4:$STORE_PORT"
+  start store "$STORE" --listen "$NET.4:$STORE_PORT"
   wait_for 10 port_is_used "$NET.4" $STORE_PORT
 }
 
-# put_config VERSION IDLE_MS: writes the configuration: one route, to
+# config_of VERSION IDLE_MS PORT: sets SPEC to a configuration with one route, to
 # intake-desk, whose requests may run once at most
+config_of () {
+  SPEC="{\"version\":$1,\"routes\":[{\"name\":\"r-statements-$3\",\"host\":\"198.18.0.1\",\"pathPrefix\":\"/$3/\",\"type\":\"non_idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":300,\"priority\":1,\"service\":\"intake-desk\",\"maxAttempts\":2}],\"services\":[{\"name\":\"intake-desk\",\"healthCheckPath\":\"/health\",\"maxConnections\":2000,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":$2}}"
+}
+
+# put_config VERSION IDLE_MS [PORT]: writes the configuration
 put_config () {
-  local spec="{\"version\":$1,\"routes\":[{\"name\":\"r-statements\",\"host\":\"198.18.0.1\",\"pathPrefix\":\"/443/\",\"type\":\"non_idempotent\",\"timeoutMs\":5000,\"targetLatencyMs\":300,\"priority\":1,\"service\":\"intake-desk\",\"maxAttempts\":2}],\"services\":[{\"name\":\"intake-desk\",\"healthCheckPath\":\"/health\",\"maxConnections\":2000,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":$2}}"
-  local status
-  status=$(http POST $NET.4 $STORE_PORT /v1/objects/config \
-    "{\"meta\":{\"name\":\"main\"},\"spec\":$spec}")
-  record "operator wrote config/main version=$1 idleTimeoutMs=$2 status=$status"
+  local port=${3:-443} method=POST name= status
+  [ "$1" = 1 ] || method=PUT name=/main
+  config_of "$1" "$2" "$port"
+  status=$(http $method $NET.4 $STORE_PORT "/v1/objects/config$name" \
+    "{\"meta\":{\"name\":\"main\"},\"spec\":$SPEC}")
+  record "operator wrote config/main version=$1 port=$port idleTimeoutMs=$2 status=$status revision=$(grep -o '"revision":[0-9]*' "$RUN/http.body" | head -n 1)"
   [ "${status:0:1}" = 2 ]
 }
 
@@ -162,10 +169,10 @@
   done
 }
 
-# start_clients FLOWS TIMES
+# start_clients FLOWS TIMES [ROUTE]
 start_clients () {
-  record "clients start: $1 flows, requests at $2 ms from now"
-  start clients build/review-client --local "$NET.5:$PACKETS" --route $ROUTE \
+  record "clients start: $1 flows to ${3:-$ROUTE}, requests at $2 ms from now"
+  start clients build/review-client --local "$NET.5:$PACKETS" --route ${3:-$ROUTE} \
     --balancers "${IP_OF[b1]},${IP_OF[b2]},${IP_OF[b3]}" --http-port $HTTP \
     --flows "$1" --times "$2"
 }
--- /dev/null
+++ b/review/store.c
@@ -0,0 +1,461 @@
+/* store.c -- stand-in for the users' object store, for the cases of the review
+
+   Serves objects by kind and name over HTTP, with one revision counter, lists
+   in pages, conditional writes and watches, all in memory.  Every answer has the
+   header Store-Era.  POST /drill plays the drill of the users' letter 4:
+     copy    takes a copy
+     away    until the next command, calls get no answer and watches are cut
+     restore comes back from the copy: what was written since is gone, the
+             revision goes back, and the era rises by one
+     back    comes back without a loss  */
+
+#include <civetweb.h>
+#include <jansson.h>
+#include <popt.h>
+#include <pthread.h>
+#include <signal.h>
+#include <stdbool.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <time.h>
+#include <unistd.h>
+
+#include <uthash.h>
+
+#define KEY_MAX_BYTES  160
+#define BODY_MAX_BYTES (1024 * 1024)
+#define PAGE_OBJECTS   50 /* objects in one response */
+#define OBJECTS_PATH   "/v1/objects/"
+
+/* An object.  Removed objects are kept so that watches can report the
+   removal.  */
+struct object
+{
+  char key[KEY_MAX_BYTES]; /* kind/name */
+  uint64_t revision;       /* of the last change */
+  bool removed;
+  json_t *json; /* meta, spec, status */
+  UT_hash_handle hh;
+};
+
+static struct
+{
+  pthread_mutex_t mutex;
+  pthread_cond_t changed;
+  struct object *objects;
+  uint64_t revision;
+  uint64_t era;
+  bool away;
+  uint64_t interruptions; /* rises whenever waiting watches are cut */
+  struct object *copy;
+  uint64_t copy_revision;
+  uint64_t calls;
+} state = {
+  .mutex = PTHREAD_MUTEX_INITIALIZER,
+  .changed = PTHREAD_COND_INITIALIZER,
+  .revision = 1,
+  .era = 1,
+};
+
+static volatile sig_atomic_t stopped;
+
+static void
+on_signal (int sig)
+{
+  (void)sig;
+  stopped = 1;
+}
+
+static int
+respond (struct mg_connection *conn, int status, json_t *json)
+{
+  char *text = json != NULL ? json_dumps (json, JSON_COMPACT) : strdup ("{}");
+
+  mg_printf (conn,
+             "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
+             "Store-Era: %lu\r\nContent-Length: %zu\r\n\r\n%s",
+             status, mg_get_response_code_text (conn, status), state.era,
+             strlen (text), text);
+  free (text);
+  json_decref (json);
+  return status;
+}
+
+static struct object *
+find_object (const char *key)
+{
+  struct object *o;
+
+  HASH_FIND_STR (state.objects, key, o);
+  return o;
+}
+
+static int
+compare_keys (const struct object *a, const struct object *b)
+{
+  return strcmp (a->key, b->key);
+}
+
+static bool
+is_of_kind (const struct object *o, const char *kind)
+{
+  size_t len = strlen (kind);
+  return strncmp (o->key, kind, len) == 0 && o->key[len] == '/';
+}
+
+static unsigned long
+query_number (const struct mg_request_info *info, const char *name)
+{
+  char text[32] = "";
+
+  if (info->query_string != NULL)
+    mg_get_var (info->query_string, strlen (info->query_string), name, text,
+                sizeof text);
+  return strtoul (text, NULL, 10);
+}
+
+/* -- reading -- */
+
+/* Returns the first page of objects of a kind with names above the query's
+   "after".  */
+static json_t *
+list_objects (const struct mg_request_info *info, const char *kind)
+{
+  char after[KEY_MAX_BYTES] = "";
+  json_t *items = json_array ();
+  bool more = false;
+  struct object *o;
+  struct object *next;
+
+  if (info->query_string != NULL)
+    mg_get_var (info->query_string, strlen (info->query_string), "after", after,
+                sizeof after);
+  HASH_SORT (state.objects, compare_keys);
+  HASH_ITER (hh, state.objects, o, next)
+  {
+    if (o->removed || !is_of_kind (o, kind)
+        || strcmp (o->key + strlen (kind) + 1, after) <= 0)
+      continue;
+    more = json_array_size (items) == PAGE_OBJECTS;
+    if (more)
+      break;
+    json_array_append (items, o->json);
+  }
+  return json_pack ("{s:o, s:b, s:I}", "items", items, "hasMore", (int)more,
+                    "currentRev", (json_int_t)state.revision);
+}
+
+/* Returns an event for each object that changed after REVISION.  */
+static json_t *
+changes_since (const char *kind, uint64_t revision)
+{
+  json_t *events = json_array ();
+  struct object *o;
+  struct object *next;
+
+  HASH_ITER (hh, state.objects, o, next)
+  if (o->revision > revision && is_of_kind (o, kind))
+    json_array_append_new (events,
+                           json_pack ("{s:b, s:O}", "removed", (int)o->removed,
+                                      "object", o->json));
+  return events;
+}
+
+/* Waits up to WAIT_MS for changes after REVISION; the mutex is held except
+   during the wait.  Stores in *STATUS 410 if the store does not have REVISION,
+   or 0 if the watch is cut.  */
+static json_t *
+wait_for_changes (const char *kind,
+                  uint64_t revision,
+                  unsigned long wait_ms,
+                  int *status)
+{
+  uint64_t interruptions = state.interruptions;
+  struct timespec until;
+  json_t *events = NULL;
+
+  *status = 200;
+  if (revision > state.revision)
+    {
+      *status = 410;
+      return NULL;
+    }
+  clock_gettime (CLOCK_REALTIME, &until);
+  until.tv_sec += (time_t)(wait_ms / 1000);
+  until.tv_nsec += (long)(wait_ms % 1000) * 1000000;
+  until.tv_sec += until.tv_nsec / 1000000000;
+  until.tv_nsec %= 1000000000;
+  for (;;)
+    {
+      if (interruptions != state.interruptions)
+        {
+          *status = 0;
+          return NULL;
+        }
+      events = changes_since (kind, revision);
+      if (json_array_size (events) > 0 || stopped
+          || pthread_cond_timedwait (&state.changed, &state.mutex, &until) != 0)
+        break;
+      json_decref (events);
+    }
+  return json_pack ("{s:o, s:I}", "events", events, "currentRev",
+                    (json_int_t)state.revision);
+}
+
+static int
+on_get (struct mg_connection *conn, const char *key)
+{
+  const struct mg_request_info *info = mg_get_request_info (conn);
+  struct object *o;
+  json_t *json;
+  int status;
+
+  if (strchr (key, '/') != NULL)
+    {
+      o = find_object (key);
+      return o != NULL && !o->removed
+                 ? respond (conn, 200, json_incref (o->json))
+                 : respond (conn, 404, NULL);
+    }
+  if (info->query_string == NULL
+      || strstr (info->query_string, "watch=") == NULL)
+    return respond (conn, 200, list_objects (info, key));
+  json = wait_for_changes (key, query_number (info, "watch"),
+                           query_number (info, "waitMs"), &status);
+  if (json != NULL)
+    return respond (conn, 200, json);
+  if (status != 0)
+    return respond (conn, status, NULL);
+  mg_close_connection (conn);
+  return 503;
+}
+
+/* -- writing -- */
+
+static int
+respond_write (struct mg_connection *conn, json_t *json)
+{
+  pthread_cond_broadcast (&state.changed);
+  return respond (conn, 200, json);
+}
+
+/* Adds an object in the removed state.  */
+static struct object *
+add_object (const char *key)
+{
+  struct object *o = calloc (1, sizeof *o);
+
+  snprintf (o->key, sizeof o->key, "%s", key);
+  o->removed = true;
+  HASH_ADD_STR (state.objects, key, o);
+  return o;
+}
+
+static void
+set_object (struct object *o, const char *name, json_t *spec)
+{
+  o->revision = ++state.revision;
+  o->removed = false;
+  json_decref (o->json);
+  o->json = json_pack ("{s:{s:s, s:I, s:[], s:b}, s:o, s:n}", "meta", "name",
+                       name, "revision", (json_int_t)o->revision, "finalizers",
+                       "deletionPending", 0, "spec", spec, "status");
+}
+
+/* Creates an object of the kind PATH, or updates the object with the key PATH.
+   The response is 409 if an object to be created exists, or if the body has a
+   revision other than 0 that is not the object's.  */
+static int
+on_write (struct mg_connection *conn,
+          const char *path,
+          bool create,
+          json_t *body)
+{
+  const json_t *meta = json_object_get (body, "meta");
+  const char *name = json_string_value (json_object_get (meta, "name"));
+  uint64_t revision
+      = (uint64_t)json_integer_value (json_object_get (meta, "revision"));
+  json_t *spec = json_incref (json_object_get (body, "spec"));
+  char key[KEY_MAX_BYTES];
+  struct object *o;
+
+  if (name == NULL || spec == NULL)
+    return respond (conn, 400, NULL);
+  snprintf (key, sizeof key, create ? "%s/%s" : "%s", path, name);
+  o = find_object (key);
+  if ((o == NULL || o->removed) && !create)
+    return respond (conn, 404, NULL);
+  if (o != NULL && !o->removed
+      && (create || (revision != 0 && revision != o->revision)))
+    return respond (conn, 409, json_incref (o->json));
+  /* A write that changes nothing makes no new revision and no event.  */
+  if (o != NULL && !o->removed
+      && json_equal (json_object_get (o->json, "spec"), spec))
+    {
+      json_decref (spec);
+      return respond (conn, 200, json_incref (o->json));
+    }
+  set_object (o != NULL ? o : add_object (key), name, spec);
+  return respond_write (conn, json_incref (find_object (key)->json));
+}
+
+static int
+on_delete (struct mg_connection *conn, const char *key)
+{
+  struct object *o = find_object (key);
+
+  if (o == NULL || o->removed)
+    return respond (conn, 404, NULL);
+  o->removed = true;
+  o->revision = ++state.revision;
+  return respond_write (conn, json_object ());
+}
+
+static json_t *
+read_body (struct mg_connection *conn)
+{
+  char *body = malloc (BODY_MAX_BYTES);
+  size_t len = 0;
+  json_t *json;
+  int n;
+
+  while (body != NULL && len < BODY_MAX_BYTES
+         && (n = mg_read (conn, body + len, BODY_MAX_BYTES - len)) > 0)
+    len += (size_t)n;
+  json = body != NULL ? json_loadb (body, len, 0, NULL) : NULL;
+  free (body);
+  return json;
+}
+
+static int
+on_objects (struct mg_connection *conn, void *ctx)
+{
+  const struct mg_request_info *info = mg_get_request_info (conn);
+  const char *path = info->local_uri + strlen (OBJECTS_PATH);
+  const char *method = info->request_method;
+  json_t *body = strcmp (method, "GET") != 0 ? read_body (conn) : NULL;
+  int status = 405;
+
+  (void)ctx;
+  pthread_mutex_lock (&state.mutex);
+  state.calls++;
+  if (state.away)
+    {
+      mg_close_connection (conn);
+      status = 503;
+    }
+  else if (strcmp (method, "GET") == 0)
+    status = on_get (conn, path);
+  else if (strcmp (method, "DELETE") == 0)
+    status = on_delete (conn, path);
+  else
+    status = on_write (conn, path, strcmp (method, "POST") == 0, body);
+  pthread_mutex_unlock (&state.mutex);
+  json_decref (body);
+  return status;
+}
+
+/* -- the drill -- */
+
+static void
+free_objects (struct object **objects)
+{
+  struct object *o;
+  struct object *next;
+
+  HASH_ITER (hh, *objects, o, next)
+  {
+    HASH_DEL (*objects, o);
+    json_decref (o->json);
+    free (o);
+  }
+}
+
+static void
+copy_objects (struct object **to, struct object *from)
+{
+  struct object *o;
+  struct object *next;
+
+  free_objects (to);
+  HASH_ITER (hh, from, o, next)
+  {
+    struct object *c = calloc (1, sizeof *c);
+    memcpy (c->key, o->key, sizeof c->key);
+    c->revision = o->revision;
+    c->removed = o->removed;
+    c->json = json_deep_copy (o->json);
+    HASH_ADD_STR (*to, key, c);
+  }
+}
+
+static int
+on_drill (struct mg_connection *conn, void *ctx)
+{
+  char command[32] = "";
+  int len = mg_read (conn, command, sizeof command - 1);
+
+  (void)ctx;
+  (void)len;
+  pthread_mutex_lock (&state.mutex);
+  if (strcmp (command, "copy") == 0)
+    {
+      copy_objects (&state.copy, state.objects);
+      state.copy_revision = state.revision;
+    }
+  if (strcmp (command, "restore") == 0)
+    {
+      copy_objects (&state.objects, state.copy);
+      state.revision = state.copy_revision;
+      state.era++;
+    }
+  state.away = strcmp (command, "away") == 0;
+  if (strcmp (command, "copy") != 0)
+    state.interruptions++;
+  pthread_cond_broadcast (&state.changed);
+  pthread_mutex_unlock (&state.mutex);
+  return respond (conn, 200, NULL);
+}
+
+static int
+on_stats (struct mg_connection *conn, void *ctx)
+{
+  (void)ctx;
+  return respond (conn, 200,
+                  json_pack ("{s:I, s:I}", "calls", (json_int_t)state.calls,
+                             "revision", (json_int_t)state.revision));
+}
+
+int
+main (int argc, const char **argv)
+{
+  char *listen = NULL;
+  struct poptOption table[] = { { "listen", 0, POPT_ARG_STRING, &listen, 0,
+                                  "IP:PORT to listen on", NULL },
+                                POPT_AUTOHELP POPT_TABLEEND };
+  poptContext popt = poptGetContext (NULL, argc, argv, table, 0);
+  const char *options[]
+      = { "listening_ports", NULL, "num_threads", "120", NULL };
+  struct mg_context *http;
+
+  if (poptGetNextOpt (popt) < -1 || listen == NULL)
+    {
+      fprintf (stderr, "review-store: --listen IP:PORT is required\n");
+      return 2;
+    }
+  signal (SIGTERM, on_signal);
+  signal (SIGINT, on_signal);
+  options[1] = listen;
+  mg_init_library (0);
+  http = mg_start (NULL, NULL, options);
+  if (http == NULL)
+    return 1;
+  mg_set_request_handler (http, OBJECTS_PATH "**", on_objects, NULL);
+  mg_set_request_handler (http, "/drill$", on_drill, NULL);
+  mg_set_request_handler (http, "/stats$", on_stats, NULL);
+  while (!stopped)
+    pause ();
+  return 0;
+}
