Log the era and revisions of a follower's calls, and routes that are not newer

Routes that are refused as not newer are logged (routes_not_newer).

Ruled out: 410, refused routes, a connection that stays silent.

--- a/ctl/store.c
+++ b/ctl/store.c
@@ -82,7 +82,7 @@
   struct platform_store_visitor visitor = { .visit = add_record, .ctx = out };
   struct platform_store *store = open_store (ctl);
   enum platform_store_result result;
-  uint64_t revision = 0;
+  struct platform_store_position position;
 
   *out = (struct stored_instances){ .records = calloc (INSTANCES_MAX,
                                                        sizeof *out->records) };
@@ -92,7 +92,7 @@
       return CTL_USAGE;
     }
   result = platform_store_list (store, PLATFORM_INSTANCES_KIND, &visitor,
-                                &revision);
+                                &position);
   platform_store_free (store);
   return result == PLATFORM_STORE_OK ? CTL_OK : report_result (ctl, result);
 }
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -228,7 +228,11 @@
             source, findings.items[i].place, findings.items[i].text);
   version = table->version;
   if (bl_dispatch_configure (d->core, io_now_ms (), table) != BL_OK)
-    return;
+    {
+      io_log (IO_INFO, "routes_not_newer", "version=%lu source=%s", version,
+              source);
+      return;
+    }
   io_log (IO_INFO, "routes_in_force", "version=%lu source=%s", version, source);
   copy = malloc (text.len + 1);
   if (copy == NULL)
--- a/daemon/follower.c
+++ b/daemon/follower.c
@@ -27,8 +27,9 @@
   struct bl_random random;
   volatile bool stop_requested;
   volatile unsigned wait_ms;
-  bool reachable; /* as of the last call */
-  bool changed;   /* the current call returned an object */
+  bool reachable;                          /* as of the last call */
+  struct platform_store_position position; /* where the next watch begins */
+  bool changed; /* the current call returned an object */
   struct follower_ops ops;
   void *ctx;
 };
@@ -54,17 +55,23 @@
   f->ops.visit (f->ctx, name, revision, text);
 }
 
-/* Logs when the store becomes unreachable, and when it is reachable again.  */
+/* Logs when the store becomes unreachable, and when it is reachable again after
+   a call that began at position FROM.  */
 static void
-update_reachable (struct follower *f, enum platform_store_result result)
+update_reachable (struct follower *f,
+                  enum platform_store_result result,
+                  struct platform_store_position from)
 {
   bool reachable = result == PLATFORM_STORE_OK || result == PLATFORM_STORE_GONE;
 
   if (reachable != f->reachable && !f->stop_requested)
     io_log (reachable ? IO_INFO : IO_WARN,
             reachable ? "store_regained" : "store_lost",
-            "by=follower kind=%s result=\"%s\"", f->settings.kind,
-            platform_store_result_name (result));
+            "by=follower kind=%s result=\"%s\" from=%lu.%lu to=%lu.%lu "
+            "era=%lu changed=%d",
+            f->settings.kind, platform_store_result_name (result), from.era,
+            from.revision, f->position.era, f->position.revision,
+            platform_store_era (f->store), (int)f->changed);
   f->reachable = reachable;
 }
 
@@ -94,22 +101,22 @@
 thread_main (void *ctx)
 {
   struct follower *f = ctx;
-  uint64_t revision = 0;
   bool listed = false;
   unsigned attempt = 0;
 
   while (!f->stop_requested)
     {
+      struct platform_store_position from = f->position;
       enum platform_store_result result;
       f->changed = false;
       if (!listed)
         result = platform_store_list (f->store, f->settings.kind, &f->visitor,
-                                      &revision);
+                                      &f->position);
       else
         result = platform_store_watch (
             f->store, f->settings.kind, next_wait_ms (f),
-            f->settings.allow_stale, &f->visitor, &revision);
-      update_reachable (f, result);
+            f->settings.allow_stale, &f->visitor, &f->position);
+      update_reachable (f, result, from);
       if (result == PLATFORM_STORE_OK)
         {
           if (!listed && f->ops.listed != NULL)
