Follow the store anew when it was restored from an older copy

Cause: a follower of the store goes on with a watch from the last revision that it saw. The restored store has given out that revision again, for another change, so it accepts the watch; what was written before it in the new era is never seen. No balancer has the new version, so none can pull it from another.

Change: a revision is kept with its era. A watch that is answered in another era, or a list whose pages are of different eras, is reported as "restored"; the follower lists the objects again, with back-off if that happens repeatedly. For 10 s after a list, no stale answers are accepted, which may be from before the restore.

Why it works: an era rises with every restore, and a position is used only for calls that are answered in its own era. The list shows what the store holds, and the watch after it begins at a revision of the same answer.

--- a/daemon/follower.c
+++ b/daemon/follower.c
@@ -4,8 +4,9 @@
    each watch is random, so that the watches of different instances end at
    different times: when the store has lost all its watches, one of the
    followers detects this soon.  When the store has discarded the history that a
-   watch needs, the objects are listed again.  When the store does not answer,
-   the call is retried from the same revision after an increasing back-off.  */
+   watch needs, or was restored from an older copy, the objects are listed
+   again. When the store does not answer, the call is retried from the same
+   position after an increasing back-off.  */
 
 #include "daemon/daemon.h"
 #include "platform/platform.h"
@@ -17,6 +18,9 @@
 #define BACKOFF_MIN_MS 150
 #define BACKOFF_MAX_MS 1200
 #define SLEEP_STEP_MS  50 /* between checks of the stop flag */
+/* Age that a stale answer may have.  For this time after a list, such an answer
+   may be from before the restore that the list follows.  */
+#define STALE_MAX_MS 10000
 
 struct follower
 {
@@ -29,7 +33,9 @@
   volatile unsigned wait_ms;
   bool reachable;                          /* as of the last call */
   struct platform_store_position position; /* where the next watch begins */
-  bool changed; /* the current call returned an object */
+  bool changed;       /* the current call returned an object */
+  bool listed;        /* the objects were listed, and POSITION is valid */
+  uint64_t listed_ms; /* when the last list ended */
   struct follower_ops ops;
   void *ctx;
 };
@@ -62,7 +68,8 @@
                   enum platform_store_result result,
                   struct platform_store_position from)
 {
-  bool reachable = result == PLATFORM_STORE_OK || result == PLATFORM_STORE_GONE;
+  bool reachable = result == PLATFORM_STORE_OK || result == PLATFORM_STORE_GONE
+                   || result == PLATFORM_STORE_RESTORED;
 
   if (reachable != f->reachable && !f->stop_requested)
     io_log (reachable ? IO_INFO : IO_WARN,
@@ -97,38 +104,72 @@
   return half + bl_random_below (&f->random, half + 1);
 }
 
+static enum platform_store_result
+list_objects (struct follower *f)
+{
+  enum platform_store_result result = platform_store_list (
+      f->store, f->settings.kind, &f->visitor, &f->position);
+
+  if (result != PLATFORM_STORE_OK)
+    return result;
+  f->listed = true;
+  f->listed_ms = io_now_ms ();
+  if (f->ops.listed != NULL)
+    f->ops.listed (f->ctx);
+  return result;
+}
+
+static enum platform_store_result
+watch_objects (struct follower *f)
+{
+  bool stale
+      = f->settings.allow_stale && io_now_ms () - f->listed_ms >= STALE_MAX_MS;
+
+  return platform_store_watch (f->store, f->settings.kind, next_wait_ms (f),
+                               stale, &f->visitor, &f->position);
+}
+
+/* Gives up the position; the objects are listed again.  */
+static void
+give_up_position (struct follower *f, enum platform_store_result result)
+{
+  f->listed = false;
+  io_log (IO_INFO, "store_position_lost",
+          "kind=%s result=\"%s\" position=%lu.%lu era=%lu", f->settings.kind,
+          platform_store_result_name (result), f->position.era,
+          f->position.revision, platform_store_era (f->store));
+}
+
 static void *
 thread_main (void *ctx)
 {
   struct follower *f = ctx;
-  bool listed = false;
   unsigned attempt = 0;
 
   while (!f->stop_requested)
     {
       struct platform_store_position from = f->position;
       enum platform_store_result result;
+      bool watching = f->listed;
       f->changed = false;
-      if (!listed)
-        result = platform_store_list (f->store, f->settings.kind, &f->visitor,
-                                      &f->position);
-      else
-        result = platform_store_watch (
-            f->store, f->settings.kind, next_wait_ms (f),
-            f->settings.allow_stale, &f->visitor, &f->position);
+      result = watching ? watch_objects (f) : list_objects (f);
       update_reachable (f, result, from);
-      if (result == PLATFORM_STORE_OK)
+      switch (result)
         {
-          if (!listed && f->ops.listed != NULL)
-            f->ops.listed (f->ctx);
-          listed = true;
-          attempt = 0;
+        case PLATFORM_STORE_OK:
+          /* After a list, a watch that fails at once must not reset it.  */
+          attempt = watching ? 0 : attempt;
           interruptible_sleep (f, f->changed ? f->settings.pause_ms : 0);
+          break;
+        case PLATFORM_STORE_GONE:
+        case PLATFORM_STORE_RESTORED:
+          give_up_position (f, result);
+          interruptible_sleep (f, attempt > 0 ? backoff_ms (f, attempt) : 0);
+          attempt++;
+          break;
+        default:
+          interruptible_sleep (f, backoff_ms (f, ++attempt));
         }
-      else if (result == PLATFORM_STORE_GONE)
-        listed = false;
-      else
-        interruptible_sleep (f, backoff_ms (f, ++attempt));
     }
   return NULL;
 }
--- a/examples/datagram.sh
+++ b/examples/datagram.sh
@@ -31,11 +31,11 @@
   wait_for 10 curl -sf "http://$STORE_IP:8600/stats"
 }
 
-# put_routes VERSION SERVICE: writes a route table with one route, to SERVICE;
-# creates the object, or replaces it if it exists
+# put_routes VERSION SERVICE [PORT]: writes a route table with one route, to
+# SERVICE; creates the object, or replaces it if it exists
 put_routes () {
   local spec="{\"version\":$1,\"routes\":[{\"name\":\"r\",\"host\":\"198.18.0.1\",
-    \"pathPrefix\":\"/443/\",\"type\":\"idempotent\",\"timeoutMs\":5000,
+    \"pathPrefix\":\"/${3:-443}/\",\"type\":\"idempotent\",\"timeoutMs\":5000,
     \"targetLatencyMs\":500,\"priority\":1,\"service\":\"$2\"}],
     \"services\":[{\"name\":\"$2\",\"healthCheckPath\":\"/health\",
     \"maxConnections\":2000}],\"limits\":{\"idleTimeoutMs\":15000}}"
--- a/standin/store.c
+++ b/standin/store.c
@@ -7,7 +7,17 @@
      lose_answers=N     the next N writes take effect but get no response
      forget=1           the history is dropped; watches from the current or an
                         earlier revision are answered with 410
-   GET /stats reports the number of calls and the revision.  */
+     copy=1             takes a copy of the store
+     mode=away          calls get no answer and watches are cut, until another
+                        mode or a restore
+     restore=1          comes back from the copy: what was written since is
+                        lost, the revision counter goes back, and a new era
+                        begins
+     restore=repeat     the same, and the operator then repeats the writes that
+                        were lost or got no answer since the copy was taken
+   Every answer states the era in the header Store-Era.  A watch from a revision
+   that the store has not given out in this era is answered with 410.
+   GET /stats reports the number of calls, the revision and the era.  */
 
 #include <civetweb.h>
 #include <jansson.h>
@@ -29,6 +39,8 @@
 #define PAGE_OBJECTS   50 /* objects in one response */
 #define OBJECTS_PATH   "/v1/objects/"
 
+#define OPERATOR_KIND "config" /* objects that the operator writes */
+
 /* An object.  Removed objects are kept so that watches can report the
    removal.  */
 struct object
@@ -40,6 +52,13 @@
   UT_hash_handle hh;
 };
 
+/* A write of the operator since the copy was taken, made or unanswered.  */
+struct repeated_write
+{
+  char key[KEY_MAX_BYTES];
+  json_t *spec;
+};
+
 static struct
 {
   pthread_mutex_t mutex;
@@ -48,12 +67,20 @@
   uint64_t revision;
   uint64_t history_start; /* watches from lower revisions get 410 */
   bool down;
-  int lose_answers; /* writes left that get no response */
+  bool away;
+  uint64_t interruptions; /* incremented when all waiting watches are cut */
+  int lose_answers;       /* writes left that get no response */
   uint64_t calls;
+  uint64_t era;
+  struct object *copy; /* by key */
+  uint64_t copy_revision;
+  struct repeated_write *writes; /* of the operator since the copy */
+  size_t write_count;
 } state = {
   .mutex = PTHREAD_MUTEX_INITIALIZER,
   .changed = PTHREAD_COND_INITIALIZER,
   .revision = 1,
+  .era = 1,
 };
 
 static volatile sig_atomic_t stopped;
@@ -72,9 +99,9 @@
 
   mg_printf (conn,
              "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\n"
-             "Content-Length: %zu\r\n\r\n%s",
-             status, mg_get_response_code_text (conn, status), strlen (text),
-             text);
+             "Store-Era: %lu\r\nContent-Length: %zu\r\n\r\n%s",
+             status, mg_get_response_code_text (conn, status), state.era,
+             strlen (text), text);
   free (text);
   json_decref (json);
   return status;
@@ -160,11 +187,24 @@
   return events;
 }
 
+/* Closes the connection without an answer.  */
+static int
+close_unanswered (struct mg_connection *conn)
+{
+  mg_close_connection (conn);
+  return 503;
+}
+
 /* Waits up to WAIT_MS for changes after REVISION; the mutex is held except
-   during the wait.  Returns NULL if the history since REVISION was dropped.  */
+   during the wait.  Returns NULL with *STATUS set to 410 if the store does not
+   have the history since REVISION, or to 0 if the watch was cut.  */
 static json_t *
-wait_for_changes (const char *kind, uint64_t revision, unsigned long wait_ms)
+wait_for_changes (const char *kind,
+                  uint64_t revision,
+                  unsigned long wait_ms,
+                  int *status)
 {
+  uint64_t interruptions = state.interruptions;
   struct timespec until;
   json_t *events = NULL;
 
@@ -175,7 +215,9 @@
   until.tv_nsec %= 1000000000;
   for (;;)
     {
-      if (revision < state.history_start)
+      *status = interruptions != state.interruptions ? 0 : 410;
+      if (*status == 0 || revision < state.history_start
+          || revision > state.revision)
         return NULL;
       events = changes_since (kind, revision);
       if (json_array_size (events) > 0 || stopped
@@ -193,6 +235,7 @@
   const struct mg_request_info *info = mg_get_request_info (conn);
   struct object *o;
   json_t *json;
+  int status;
 
   if (strchr (key, '/') != NULL)
     {
@@ -205,8 +248,11 @@
       || strstr (info->query_string, "watch=") == NULL)
     return respond (conn, 200, list_objects (info, key));
   json = wait_for_changes (key, query_number (info, "watch"),
-                           query_number (info, "waitMs"));
-  return json != NULL ? respond (conn, 200, json) : respond (conn, 410, NULL);
+                           query_number (info, "waitMs"), &status);
+  if (json == NULL && status == 0)
+    return close_unanswered (conn);
+  return json != NULL ? respond (conn, 200, json)
+                      : respond (conn, status, NULL);
 }
 
 /* -- writing -- */
@@ -221,8 +267,7 @@
     {
       state.lose_answers--;
       json_decref (json);
-      mg_close_connection (conn);
-      return 200;
+      return close_unanswered (conn);
     }
   return respond (conn, 200, json);
 }
@@ -250,6 +295,27 @@
                        "deletionPending", 0, "spec", spec, "status");
 }
 
+/* Notes a write of the operator, which a restore may repeat.  */
+static void
+note_write (const char *key, json_t *spec)
+{
+  struct repeated_write *w
+      = realloc (state.writes, (state.write_count + 1) * sizeof *state.writes);
+
+  if (w == NULL)
+    return;
+  state.writes = w;
+  w = &state.writes[state.write_count++];
+  snprintf (w->key, sizeof w->key, "%s", key);
+  w->spec = json_incref (spec);
+}
+
+static bool
+is_of_operator (const char *key)
+{
+  return strncmp (key, OPERATOR_KIND "/", sizeof OPERATOR_KIND) == 0;
+}
+
 /* Creates an object of the kind PATH, or updates the object with the key PATH.
    The response is 409 if an object to be created exists, or if the body has a
    revision other than 0 that is not the object's.  */
@@ -276,6 +342,15 @@
   if (o != NULL && !o->removed
       && (create || (revision != 0 && revision != o->revision)))
     return respond (conn, 409, json_incref (o->json));
+  /* A write that changes nothing makes no new revision and no event.  */
+  if (o != NULL && !o->removed
+      && json_equal (json_object_get (o->json, "spec"), spec))
+    {
+      json_decref (spec);
+      return respond (conn, 200, json_incref (o->json));
+    }
+  if (is_of_operator (key))
+    note_write (key, spec);
   set_object (o != NULL ? o : add_object (key), name, spec);
   return respond_write (conn, json_incref (find_object (key)->json));
 }
@@ -320,7 +395,13 @@
   (void)ctx;
   pthread_mutex_lock (&state.mutex);
   state.calls++;
-  if (state.down)
+  if (state.away)
+    {
+      if (body != NULL && is_of_operator (path))
+        note_write (path, json_object_get (body, "spec"));
+      status = close_unanswered (conn);
+    }
+  else if (state.down)
     status = respond (conn, 503, NULL);
   else if (strcmp (method, "GET") == 0)
     status = on_get (conn, path);
@@ -333,6 +414,75 @@
   return status;
 }
 
+/* -- restoring a copy -- */
+
+static void
+free_objects (struct object **objects)
+{
+  struct object *o;
+  struct object *next;
+
+  HASH_ITER (hh, *objects, o, next)
+  {
+    HASH_DEL (*objects, o);
+    json_decref (o->json);
+    free (o);
+  }
+}
+
+static void
+forget_writes (void)
+{
+  while (state.write_count > 0)
+    json_decref (state.writes[--state.write_count].spec);
+}
+
+/* Replaces the objects TO by copies of FROM.  The JSON of an object is replaced
+   when it changes, so it can be shared.  */
+static void
+copy_objects (struct object **to, struct object *from)
+{
+  struct object *o;
+  struct object *next;
+
+  free_objects (to);
+  HASH_ITER (hh, from, o, next)
+  {
+    struct object *c = calloc (1, sizeof *c);
+    memcpy (c->key, o->key, sizeof c->key);
+    c->revision = o->revision;
+    c->removed = o->removed;
+    c->json = json_incref (o->json);
+    HASH_ADD_STR (*to, key, c);
+  }
+}
+
+static void
+take_copy (void)
+{
+  copy_objects (&state.copy, state.objects);
+  state.copy_revision = state.revision;
+  forget_writes ();
+}
+
+static void
+restore_copy (bool repeat)
+{
+  copy_objects (&state.objects, state.copy);
+  state.revision = state.copy_revision;
+  state.era++;
+  state.away = false;
+  for (size_t i = 0; repeat && i < state.write_count; i++)
+    {
+      struct repeated_write *w = &state.writes[i];
+      struct object *o = find_object (w->key);
+      set_object (o != NULL ? o : add_object (w->key), strchr (w->key, '/') + 1,
+                  json_incref (w->spec));
+    }
+  if (!repeat)
+    forget_writes ();
+}
+
 static int
 on_fault (struct mg_connection *conn, void *ctx)
 {
@@ -345,11 +495,22 @@
     len = 0;
   pthread_mutex_lock (&state.mutex);
   if (mg_get_var (body, (size_t)len, "mode", value, sizeof value) > 0)
-    state.down = strcmp (value, "down") == 0;
+    {
+      state.down = strcmp (value, "down") == 0;
+      state.away = strcmp (value, "away") == 0;
+      state.interruptions += state.away ? 1 : 0;
+    }
   if (mg_get_var (body, (size_t)len, "lose_answers", value, sizeof value) > 0)
     state.lose_answers = atoi (value);
   if (mg_get_var (body, (size_t)len, "forget", value, sizeof value) > 0)
     state.history_start = state.revision + 1;
+  if (mg_get_var (body, (size_t)len, "copy", value, sizeof value) > 0)
+    take_copy ();
+  if (mg_get_var (body, (size_t)len, "restore", value, sizeof value) > 0)
+    {
+      state.interruptions++;
+      restore_copy (strcmp (value, "repeat") == 0);
+    }
   pthread_cond_broadcast (&state.changed);
   pthread_mutex_unlock (&state.mutex);
   return respond (conn, 200, NULL);
@@ -360,8 +521,10 @@
 {
   (void)ctx;
   return respond (conn, 200,
-                  json_pack ("{s:I, s:I}", "calls", (json_int_t)state.calls,
-                             "revision", (json_int_t)state.revision));
+                  json_pack ("{s:I, s:I, s:I}", "calls",
+                             (json_int_t)state.calls, "revision",
+                             (json_int_t)state.revision, "era",
+                             (json_int_t)state.era));
 }
 
 int
--- /dev/null
+++ b/test/process_restore.sh
@@ -0,0 +1,57 @@
+#!/bin/bash
+# process_restore.sh -- the store is away for a moment and comes back from an
+# older copy: what was acknowledged before and afterwards must be in force
+
+cd "$(dirname "$0")/.." || exit 1
+. examples/deploy.sh
+. examples/datagram.sh
+begin_test
+deploy_datagram || fail "deploy"
+
+# stat FIELD: prints a number that the store reports
+stat () { curl -sf "http://$STORE_IP:8600/stats" | jq ".$1"; }
+
+# version_of ID: prints the version of the routes in force at a balancer
+version_of () { curl -sf "http://${IP_OF[$1]}:$HTTP/v1/status" | jq .version; }
+
+# in_force VERSION: succeeds if every balancer has that version in force
+in_force () {
+  local id
+  for id in b1 b2 b3; do [ "$(version_of $id)" = "$1" ] || return 1; done
+}
+
+# write_other: makes a change that concerns no balancer, which takes a revision
+write_other () {
+  curl -sf -X POST --data "{\"meta\":{\"name\":\"o$RANDOM$RANDOM\"},\"spec\":1}" \
+    "http://$STORE_IP:8600/v1/objects/other" >/dev/null || fail "write_other"
+}
+
+# is_quiet: succeeds if nothing is written to the store for a second
+is_quiet () {
+  local before
+  before=$(stat revision)
+  sleep 1
+  [ "$(stat revision)" = "$before" ]
+}
+
+# An acknowledged version must come into force although the watches have seen its
+# revision before the restore, as that of another change.
+wait_for 20 is_quiet || fail "the store is not quiet"
+store_fault copy=1
+copied=$(stat revision)
+write_other
+put_routes 2 web || fail "version 2"
+wait_for 10 in_force 2 || fail "version 2 is not in force"
+sleep 0.5 # until the watches that returned version 2 were followed by others
+seen=$(stat revision)
+[ "$seen" = $((copied + 2)) ] || fail "revision $seen, not $((copied + 2))"
+store_fault mode=away
+put_routes 3 web 8080 # gets no answer, and is repeated
+store_fault restore=repeat
+[ "$(stat revision)" = "$seen" ] || fail "the revision was not given out again"
+[ "$(stat era)" = 2 ] || fail "no new era"
+wait_for 15 in_force 3 || fail "version 3 is not in force after a restore"
+ROUTE=198.18.0.1:8080
+callers moved --users 4 --requests 5 --seed 7
+wait "${PID_OF[moved]}" || fail "moved: $(cat "$RUN/moved.out")"
+[ "$(result moved answered)" = 20 ] || fail "moved: $(tail -1 "$RUN/moved.out")"
