Write the own record again when a restore has lost it

What callers saw: nothing yet by itself; a balancer that starts after a restore does not know agents that the copy lacks, and takes its list for complete.

The registry writes a record when it changes and on the condition of the last revision; it reads no era, so a record that the restored store lacks, or holds as of an earlier start, stays so until the next change, and that change is made on a revision that may mean something else now. An idle agent makes no calls at all, so it cannot notice.

Change: core/own_record.c decides when the record is written and when the store is checked for it; registry.c makes the calls. Balancers hear of a new era from the answers to their followers and tell agents with status requests, each at a random time within the usual interval (the place of config_from in the message, which these types do not use, so that old and new processes understand each other). A revision of an earlier era is never a condition: the record is read first. A conditional write that took effect in another era is no success.

--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -137,6 +137,11 @@
 /* To be called when the records of all instances in the platform's store have
    been applied.  */
 void bl_dispatch_list_complete (struct bl_dispatch *d, uint64_t now);
+/* Notes that an answer of the platform's store states ERA.  Agents are told of
+   a later era than they know, so that they check whether the store still holds
+   their records.  */
+void
+bl_dispatch_note_store_era (struct bl_dispatch *d, uint64_t now, uint64_t era);
 /* Returns true when packets of callers can be handled: there are routes, and at
    least one agent that is not unreachable.  */
 bool bl_dispatch_ready (const struct bl_dispatch *d);
--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -5,8 +5,10 @@
    STATUS_BYTES_PER_S whatever the size of the fleet.  An instance that has left
    a request unanswered is sent another after a short interval.  A balancer
    whose routes or own record have changed announces that to all other balancers
-   at once. dispatch_compare.c handles differences between the records of two
-   balancers.  */
+   at once.  Agents are told of a new era of the platform's store, each at a
+   random time within the usual interval between two requests to it.
+   dispatch_compare.c handles differences between the records of two balancers.
+ */
 
 #include "core/dispatch_inner.h"
 
@@ -42,6 +44,7 @@
 {
   msg->config_version = d->table != NULL ? d->table->version : 0;
   msg->digest = bl_store_digest (d->fleet.store);
+  msg->store_era = d->store_era;
   msg->affirmative = bl_dispatch_has_all_agents (d);
 }
 
@@ -102,21 +105,57 @@
   return true;
 }
 
+/* Returns the interval between status requests to an instance that replies.  */
 static uint64_t
-status_interval (const struct bl_dispatch *d,
-                 const struct bl_instance *instance,
-                 bool is_isolation_probe)
+usual_interval (const struct bl_dispatch *d)
 {
   uint64_t ms = HASH_COUNT (d->fleet.instances) * STATUS_EXCHANGE_BYTES * 1000
                 / STATUS_BYTES_PER_S;
 
+  return ms < STATUS_INTERVAL_MIN_MS ? STATUS_INTERVAL_MIN_MS : ms;
+}
+
+static uint64_t
+status_interval (const struct bl_dispatch *d,
+                 const struct bl_instance *instance,
+                 bool is_isolation_probe)
+{
   if (instance->unreachable && !d->fleet.isolated)
     return UNREACHABLE_INTERVAL_MS;
   if (instance->suspect)
     return SUSPECT_INTERVAL_MS;
   if (is_isolation_probe)
     return ISOLATION_PROBE_INTERVAL_MS;
-  return ms < STATUS_INTERVAL_MIN_MS ? STATUS_INTERVAL_MIN_MS : ms;
+  return usual_interval (d);
+}
+
+void
+bl_dispatch_note_store_era (struct bl_dispatch *d, uint64_t now, uint64_t era)
+{
+  struct bl_instance *instance;
+  struct bl_instance *next;
+
+  d->now = now;
+  if (era <= d->store_era)
+    return;
+  d->store_era = era;
+  HASH_ITER (hh, d->fleet.instances, instance, next)
+  instance->tell_era_ms
+      = now + bl_random_below (&d->random, (uint32_t)usual_interval (d));
+  bl_dispatch_log_decision (d, "store_era", "later_era", NULL, NULL, 0);
+}
+
+/* Returns true when INSTANCE is an agent that is to be told of a later era.  A
+   lost request is repeated after the usual interval.  */
+static bool
+must_tell_era (struct bl_dispatch *d, struct bl_instance *instance)
+{
+  if (instance->record.kind != BL_KIND_BACKEND
+      || instance->store_era >= d->store_era || instance->unreachable
+      || d->now < instance->tell_era_ms)
+    return false;
+  instance->tell_era_ms = d->now + usual_interval (d);
+  return true;
 }
 
 /* Pulls the routes of a peer that has newer routes.  A pull may be lost, so it
@@ -154,7 +193,7 @@
     if (instance->record.state >= BL_STATE_LEFT)
       continue;
     isolation_probe = is_isolation_probe (d, instance, &isolation_probes_left);
-    if (has_update
+    if (has_update || must_tell_era (d, instance)
         || d->now - last >= status_interval (d, instance, isolation_probe))
       bl_members_request_status (d, instance);
     if (instance->record.kind == BL_KIND_BALANCER && !instance->suspect)
@@ -189,6 +228,7 @@
   instance->busy = msg->load;
   instance->flows = msg->flows;
   instance->placed_since_report = 0;
+  instance->store_era = msg->store_era;
   if (msg->digest == 0)
     return;
   if (instance->backend_start != 0 && instance->backend_start != msg->digest)
--- a/core/msg.h
+++ b/core/msg.h
@@ -50,7 +50,9 @@
                           DCS_WITHOUT_BALANCERS */
 
   /* Status query of a balancer to any instance.  SEQ and INCARNATION are those
-     of the receiver's record that the sender holds.  */
+     of the receiver's record that the sender holds.  STORE_ERA is the newest
+     era of the platform's store that the sender has heard of, in the reply too.
+   */
   BL_MSG_STATUS_QUERY,
   /* Reply, also sent unrequested at a change.  From an agent: LOAD is the
      number of running requests, FLOWS the number of open flows, and DIGEST the
@@ -72,7 +74,11 @@
   uint64_t seq;           /* of a request, repeated in its reply, or of a
                              record */
   uint64_t incarnation;   /* of the record that SEQ belongs to */
-  uint64_t config_from;
+  union
+  {
+    uint64_t config_from;
+    uint64_t store_era; /* of STATUS_QUERY and STATUS */
+  };
   uint64_t config_version;
   uint64_t digest; /* of the sender's store, or of a view */
   bool affirmative;
--- a/core/passthrough.c
+++ b/core/passthrough.c
@@ -199,6 +199,7 @@
     .load = pass->busy,
     .flows = HASH_COUNT (pass->flows),
     .digest = pass->backend_start,
+    .store_era = pass->store_era,
     .record_count = with_record ? 1 : 0,
     .records = &pass->self,
   };
@@ -755,6 +756,8 @@
       return err;
     }
   note_monitor (pass, from);
+  if (msg.store_era > pass->store_era)
+    pass->store_era = msg.store_era;
   supersede (pass, &msg);
   send_status (pass, from,
                msg.seq != pass->self.seq
@@ -773,6 +776,12 @@
   bl_passthrough_set_state (pass, BL_STATE_STARTING, "stopping");
 }
 
+uint64_t
+bl_passthrough_store_era (const struct bl_passthrough *pass)
+{
+  return pass->store_era;
+}
+
 const struct bl_record *
 bl_passthrough_record (const struct bl_passthrough *pass)
 {
--- a/core/passthrough.h
+++ b/core/passthrough.h
@@ -143,6 +143,9 @@
    balancers, unless the backend server has left or is dead, so that they wait
    for the agent's next start.  */
 void bl_passthrough_stop (struct bl_passthrough *pass, uint64_t now);
+/* Returns the newest era of the platform's store that a balancer has told of; 0
+   if none has.  */
+uint64_t bl_passthrough_store_era (const struct bl_passthrough *pass);
 const struct bl_record *
 bl_passthrough_record (const struct bl_passthrough *pass);
 /* Returns true if the backend server has left, was never there, or is dead.  */
--- a/core/passthrough_inner.h
+++ b/core/passthrough_inner.h
@@ -76,6 +76,7 @@
   struct bl_monitor monitors[MONITORS_MAX];
   size_t balancer_count;
   struct bl_addr balancers[BALANCERS_MAX]; /* sources of packets, by token */
+  uint64_t store_era; /* newest that a balancer has told of; 0: none */
   uint64_t next_seed_ms;
   uint64_t next_sweep_ms;
   struct bl_buffer buffer;
--- a/ctl/store.c
+++ b/ctl/store.c
@@ -198,7 +198,8 @@
 struct stored_routes
 {
   struct bl_route_table *table; /* owned; NULL: there are no valid routes */
-  uint64_t revision;            /* of the object; 0: there is no object */
+  /* Of the object; revision 0: there is no object.  */
+  struct platform_store_position position;
   struct bl_findings findings;
 };
 
@@ -212,7 +213,7 @@
   struct stored_routes *r = ctx;
 
   (void)name;
-  r->revision = revision;
+  r->position.revision = revision;
   if (text != NULL)
     platform_route_table_parse (&r->table, bl_str_of (text), &r->findings);
 }
@@ -222,8 +223,11 @@
 {
   struct platform_store_visitor visitor = { .visit = parse_routes, .ctx = out };
 
-  return platform_store_get (store, PLATFORM_CONFIG_KIND, PLATFORM_CONFIG_NAME,
-                             &visitor);
+  enum platform_store_result result = platform_store_get (
+      store, PLATFORM_CONFIG_KIND, PLATFORM_CONFIG_NAME, &visitor);
+
+  out->position.era = platform_store_era (store);
+  return result;
 }
 
 static void
@@ -378,7 +382,7 @@
   if (copy != NULL)
     result
         = platform_store_put (store, PLATFORM_CONFIG_KIND, PLATFORM_CONFIG_NAME,
-                              copy, &current->revision);
+                              copy, &current->position);
   free (copy);
   if (result == PLATFORM_STORE_UNKNOWN)
     fprintf (stderr, "the write was not acknowledged and may take effect; "
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -156,6 +156,10 @@
    written yet.  */
 void registry_publish (struct registry *registry,
                        const struct bl_record *record);
+/* Notes that the store is in ERA, as heard from anybody.  If the record was
+   written in an earlier one, it is checked and, if the store lacks it, written
+   again.  */
+void registry_note_era (struct registry *registry, uint64_t era);
 /* Ends the thread.  If WITHDRAW, first tries once to delete the record, which
    fails if the store does not answer soon; otherwise cancels a call under
    way.  */
@@ -191,6 +195,8 @@
                  const char *text);
   /* Called when all objects of a list have been visited; may be NULL.  */
   void (*listed) (void *ctx);
+  /* Called when an answer of the store states a later era; may be NULL.  */
+  void (*restored) (void *ctx, uint64_t era);
 };
 
 struct follower *follower_start (const struct follower_settings *settings,
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -319,9 +319,24 @@
   daemon_unlock (d);
 }
 
-static const struct follower_ops routes_ops = { .visit = on_routes_object };
-static const struct follower_ops instances_ops
-    = { .visit = on_instance_object, .listed = on_instances_listed };
+static void
+on_store_era (void *ctx, uint64_t era)
+{
+  struct dispatcher *d = ctx;
+
+  daemon_lock (d);
+  bl_dispatch_note_store_era (d->core, io_now_ms (), era);
+  daemon_unlock (d);
+  registry_note_era (d->registry, era);
+}
+
+static const struct follower_ops routes_ops
+    = { .visit = on_routes_object, .restored = on_store_era };
+static const struct follower_ops instances_ops = {
+  .visit = on_instance_object,
+  .listed = on_instances_listed,
+  .restored = on_store_era,
+};
 
 /* -- admin -- */
 
--- a/daemon/follower.c
+++ b/daemon/follower.c
@@ -33,9 +33,10 @@
   volatile unsigned wait_ms;
   bool reachable;                          /* as of the last call */
   struct platform_store_position position; /* where the next watch begins */
-  bool changed;       /* the current call returned an object */
-  bool listed;        /* the objects were listed, and POSITION is valid */
-  uint64_t listed_ms; /* when the last list ended */
+  bool changed;        /* the current call returned an object */
+  bool listed;         /* the objects were listed, and POSITION is valid */
+  uint64_t newest_era; /* of the store's answers so far */
+  uint64_t listed_ms;  /* when the last list ended */
   struct follower_ops ops;
   void *ctx;
 };
@@ -129,6 +130,19 @@
                                stale, &f->visitor, &f->position);
 }
 
+/* Reports a later era of the store.  */
+static void
+note_era (struct follower *f)
+{
+  uint64_t era = platform_store_era (f->store);
+
+  if (era <= f->newest_era)
+    return;
+  f->newest_era = era;
+  if (f->ops.restored != NULL)
+    f->ops.restored (f->ctx, era);
+}
+
 /* Gives up the position; the objects are listed again.  */
 static void
 give_up_position (struct follower *f, enum platform_store_result result)
@@ -154,6 +168,7 @@
       f->changed = false;
       result = watching ? watch_objects (f) : list_objects (f);
       update_reachable (f, result, from);
+      note_era (f);
       switch (result)
         {
         case PLATFORM_STORE_OK:
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -384,6 +384,7 @@
   uint64_t now = io_now_ms ();
 
   bl_passthrough_tick (p->core, now);
+  registry_note_era (p->registry, bl_passthrough_store_era (p->core));
   expire_check (p);
   if (daemon_take_reload_request ())
     decision_log_reload (p->log, p->settings);
--- a/daemon/registry.c
+++ b/daemon/registry.c
@@ -1,13 +1,10 @@
 /* registry.c -- writes this instance's membership record to the platform's
    store
 
-   One thread writes the newest record whenever it has changed.  A write is
-   conditional on the revision that it replaces, so a write that takes effect
-   late, after its answer was lost, cannot bring back an older record.  After a
-   conflict the write is repeated with the revision that the store reports.
-   Failures are retried with back-off; meanwhile instances exchange their
-   records directly.  */
+   One thread makes the calls that core/own_record.c decides on.  While the
+   store fails, instances exchange their records directly.  */
 
+#include "core/own_record.h"
 #include "core/store.h"
 #include "daemon/daemon.h"
 #include "platform/platform.h"
@@ -17,35 +14,41 @@
 #include <string.h>
 #include <time.h>
 
-#define BACKOFF_MIN_MS 200
-#define BACKOFF_MAX_MS 2000
-
 struct registry
 {
   pthread_t thread;
   pthread_mutex_t mutex;
   pthread_cond_t changed;
   struct platform_store *store;
-  struct bl_random random;
   struct bl_record record;
-  bool dirty; /* the record has to be written */
+  struct bl_own_record decisions;
   bool stop_requested;
-  bool withdraw;     /* delete the record before the thread ends */
-  bool reachable;    /* as of the last call */
-  uint64_t revision; /* of the object, as last reported; 0: none */
+  bool withdraw;  /* delete the record before the thread ends */
+  bool reachable; /* as of the last call */
 };
 
-/* -- writing -- */
+/* The record that the store holds, as read by a check.  */
+struct stored_record
+{
+  bool found;
+  uint64_t revision;
+  struct bl_record record; /* all zero: not valid */
+};
 
-/* Waits for MS milliseconds, or until the record changes or the registry is
-   stopped.  */
+/* Waits for MS milliseconds, or until the record changes, the store is in a new
+   era, or the registry is stopped.  MS is 0 for no limit.  */
 static void
-wait_changed (struct registry *r, unsigned ms)
+wait_changed (struct registry *r, uint64_t ms)
 {
   struct timespec until;
 
+  if (ms == 0)
+    {
+      pthread_cond_wait (&r->changed, &r->mutex);
+      return;
+    }
   clock_gettime (CLOCK_MONOTONIC, &until);
-  until.tv_sec += ms / 1000;
+  until.tv_sec += (time_t)(ms / 1000);
   until.tv_nsec += (long)(ms % 1000) * 1000000;
   if (until.tv_nsec >= 1000000000)
     {
@@ -59,8 +62,10 @@
 static void
 update_reachable (struct registry *r, enum platform_store_result result)
 {
-  bool reachable
-      = result == PLATFORM_STORE_OK || result == PLATFORM_STORE_CONFLICT;
+  bool reachable = result == PLATFORM_STORE_OK
+                   || result == PLATFORM_STORE_CONFLICT
+                   || result == PLATFORM_STORE_NOT_FOUND
+                   || result == PLATFORM_STORE_RESTORED;
 
   if (reachable != r->reachable)
     io_log (reachable ? IO_INFO : IO_WARN,
@@ -70,63 +75,108 @@
 }
 
 /* Writes a copy of the record.  The mutex is released during the call.  */
-static enum platform_store_result
+static void
 write_record (struct registry *r)
 {
   struct bl_record record = r->record;
+  struct bl_own_record *o = &r->decisions;
+  struct platform_store_position position = { o->era, o->revision };
   enum platform_store_result result = PLATFORM_STORE_REFUSED;
+  uint64_t now;
   char *text;
 
-  r->dirty = false;
   pthread_mutex_unlock (&r->mutex);
   text = bl_record_format (&record);
   if (text != NULL)
     result = platform_store_put (r->store, PLATFORM_INSTANCES_KIND, record.id.s,
-                                 text, &r->revision);
+                                 text, &position);
   free (text);
+  now = io_now_ms ();
   pthread_mutex_lock (&r->mutex);
-  /* The object was deleted: the next write creates it.  */
-  if (result == PLATFORM_STORE_NOT_FOUND)
-    r->revision = 0;
   update_reachable (r, result);
-  if (result != PLATFORM_STORE_OK)
-    r->dirty = true;
-  return result;
+  switch (result)
+    {
+    case PLATFORM_STORE_OK:
+      bl_own_record_written (o, now, position.era, position.revision);
+      break;
+    case PLATFORM_STORE_CONFLICT:
+    case PLATFORM_STORE_NOT_FOUND:
+      bl_own_record_conflict (o, now, position.era, position.revision);
+      break;
+    case PLATFORM_STORE_RESTORED:
+      bl_own_record_restored (o, now, position.era);
+      break;
+    default:
+      bl_own_record_failed (o, now, BL_OWN_RECORD_WRITE);
+    }
 }
 
-/* Returns the back-off before retry ATTEMPT, counted from 1: exponential, with
-   jitter.  */
-static unsigned
-backoff_ms (struct registry *r, unsigned attempt)
+/* Parses the record that the store holds; a visitor function of the store.  */
+static void
+note_stored (void *ctx, struct bl_str name, uint64_t revision, const char *text)
 {
-  unsigned ms = BACKOFF_MIN_MS;
+  struct stored_record *stored = ctx;
 
-  while (attempt-- > 1 && ms < BACKOFF_MAX_MS)
-    ms *= 2;
-  return ms / 2 + bl_random_below (&r->random, ms / 2 + 1);
+  (void)name;
+  stored->found = text != NULL;
+  stored->revision = revision;
+  if (text != NULL && bl_record_parse (&stored->record, text) != BL_OK)
+    stored->record = (struct bl_record){ .incarnation = 0 };
+}
+
+/* Compares the record with that in the store.  The mutex is released during the
+   call.  */
+static void
+check_record (struct registry *r)
+{
+  struct bl_name id = r->record.id;
+  struct bl_own_record *o = &r->decisions;
+  struct stored_record stored = { .found = false };
+  struct platform_store_visitor visitor
+      = { .visit = note_stored, .ctx = &stored };
+  enum platform_store_result result;
+  enum bl_own_record_finding finding;
+  uint64_t era;
+
+  pthread_mutex_unlock (&r->mutex);
+  result
+      = platform_store_get (r->store, PLATFORM_INSTANCES_KIND, id.s, &visitor);
+  era = platform_store_era (r->store);
+  pthread_mutex_lock (&r->mutex);
+  update_reachable (r, result);
+  if (result != PLATFORM_STORE_OK && result != PLATFORM_STORE_NOT_FOUND)
+    {
+      bl_own_record_failed (o, io_now_ms (), BL_OWN_RECORD_CHECK);
+      return;
+    }
+  finding = bl_own_record_checked (o, io_now_ms (), era, stored.revision,
+                                   stored.found ? &stored.record : NULL,
+                                   &r->record);
+  io_log (IO_INFO, "record_checked", "era=%lu revision=%lu finding=%s", era,
+          stored.revision, bl_own_record_finding_name (finding));
 }
 
 static void *
 thread_main (void *ctx)
 {
   struct registry *r = ctx;
-  unsigned attempt = 0;
 
   pthread_mutex_lock (&r->mutex);
   while (!r->stop_requested)
     {
-      enum platform_store_result result;
-      if (!r->dirty)
+      uint64_t now = io_now_ms ();
+      uint64_t due_ms;
+      switch (bl_own_record_next (&r->decisions, now, &due_ms))
         {
-          pthread_cond_wait (&r->changed, &r->mutex);
-          continue;
+        case BL_OWN_RECORD_WRITE:
+          write_record (r);
+          break;
+        case BL_OWN_RECORD_CHECK:
+          check_record (r);
+          break;
+        default:
+          wait_changed (r, due_ms != 0 ? due_ms - now : 0);
         }
-      result = write_record (r);
-      if (result == PLATFORM_STORE_OK || result == PLATFORM_STORE_CONFLICT
-          || result == PLATFORM_STORE_NOT_FOUND)
-        attempt = 0;
-      else if (!r->stop_requested)
-        wait_changed (r, backoff_ms (r, ++attempt));
     }
   if (r->withdraw)
     {
@@ -151,7 +201,7 @@
   pthread_condattr_init (&attr);
   pthread_condattr_setclock (&attr, CLOCK_MONOTONIC);
   pthread_cond_init (&r->changed, &attr);
-  r->random.state = random_seed;
+  r->decisions.random.state = random_seed;
   r->reachable = true;
   r->store = platform_store_new (store);
   if (r->store == NULL
@@ -171,11 +221,26 @@
     return;
   pthread_mutex_lock (&registry->mutex);
   registry->record = *record;
-  registry->dirty = true;
+  bl_own_record_changed (&registry->decisions);
   pthread_cond_signal (&registry->changed);
   pthread_mutex_unlock (&registry->mutex);
 }
 
+void
+registry_note_era (struct registry *registry, uint64_t era)
+{
+  if (registry == NULL)
+    return;
+  pthread_mutex_lock (&registry->mutex);
+  if (bl_own_record_note_era (&registry->decisions, io_now_ms (), era))
+    {
+      io_log (IO_INFO, "store_restored", "by=registry era=%lu written_in=%lu",
+              era, registry->decisions.era);
+      pthread_cond_signal (&registry->changed);
+    }
+  pthread_mutex_unlock (&registry->mutex);
+}
+
 void
 registry_stop (struct registry *registry, bool withdraw)
 {
--- a/test/process_restore.sh
+++ b/test/process_restore.sh
@@ -34,6 +34,15 @@
   [ "$(stat revision)" = "$before" ]
 }
 
+# stored ID: prints the record of an instance in the store as "STATE INCARNATION"
+stored () {
+  curl -sf "http://$STORE_IP:8600/v1/objects/boragelatch-instances/$1" |
+    jq -r '"\(.spec.state) \(.spec.incarnation)"'
+}
+
+# is_stored ID RECORD: succeeds if the store holds that record
+is_stored () { [ "$(stored "$1")" = "$2" ]; }
+
 # An acknowledged version must come into force although the watches have seen its
 # revision before the restore, as that of another change.
 wait_for 20 is_quiet || fail "the store is not quiet"
@@ -55,3 +64,22 @@
 callers moved --users 4 --requests 5 --seed 7
 wait "${PID_OF[moved]}" || fail "moved: $(cat "$RUN/moved.out")"
 [ "$(result moved answered)" = 20 ] || fail "moved: $(tail -1 "$RUN/moved.out")"
+
+# Records that the copy lacks must be written again by their owners: that of an
+# agent that joined after the copy, and that of an agent that restarted.
+wait_for 20 is_quiet || fail "the store is not quiet"
+store_fault copy=1
+old_w1=$(stored w1)
+start_passthrough w5 dc1 web
+start_server w5 dc1 web
+stop w1-agent
+start_passthrough w1 dc1 web
+wait_for 20 agents_known 7 || fail "w5 is not known"
+wait_for 20 is_quiet || fail "the store is not quiet"
+new_w1=$(stored w1)
+new_w5=$(stored w5)
+[ "$new_w1" != "$old_w1" ] || fail "w1 has the record of its first start"
+store_fault mode=away
+store_fault restore=1
+wait_for 15 is_stored w1 "$new_w1" || fail "w1 is stored as $(stored w1), not $new_w1"
+wait_for 15 is_stored w5 "$new_w5" || fail "w5 is stored as $(stored w5), not $new_w5"
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -300,6 +300,7 @@
   unsigned packets;
   unsigned resets;
   unsigned sent; /* messages */
+  unsigned told; /* messages that state an era of the store */
 };
 
 static void
@@ -329,10 +330,14 @@
 static void
 record_send (void *ctx, struct bl_addr to, const uint8_t *buf, size_t len)
 {
+  struct observed *observed = ctx;
+  struct bl_msg msg;
+
   (void)to;
-  (void)buf;
-  (void)len;
-  ((struct observed *)ctx)->sent++;
+  observed->sent++;
+  assert_int_equal (bl_msg_decode (&msg, buf, len), BL_OK);
+  observed->told += msg.type == BL_MSG_STATUS_QUERY && msg.store_era > 0;
+  bl_msg_clear (&msg);
 }
 
 static void
@@ -732,6 +737,73 @@
     }
 }
 
+/* Guards against an agent that never hears of a new era of the store, because
+   the packets of its flows make status requests superfluous, or because a
+   request was lost.  */
+static const struct
+{
+  const char *name;
+  uint64_t first_era;    /* that the agent reports at first */
+  uint64_t report_after; /* requests after which it reports FINAL_ERA */
+  uint64_t final_era;
+  unsigned least; /* requests that state the era, within ERA_RUN_MS */
+  unsigned most;
+} era_cases[] = {
+  { "told once", 0, 1, 2, 1, 1 },
+  { "told although it reports an earlier era", 1, 1, 2, 1, 1 },
+  { "told again after a lost request", 0, 3, 2, 3, 3 },
+  { "not told what it knows", 2, 1, 2, 0, 0 },
+  { "not told of an earlier era", 3, 1, 3, 0, 0 },
+};
+
+#define ERA_RUN_MS   5000
+#define ERA_STEP_MS  20
+#define ERA_NOTED_MS 1000
+#define STORE_ERA    2
+#define REPORT_EACH  5 /* steps between the messages of the agent */
+
+static void
+send_agent_status (struct bl_dispatch *d, uint64_t now, uint64_t era)
+{
+  struct bl_buffer buffer = { .len = 0 };
+  struct bl_msg msg = { .type = BL_MSG_STATUS, .store_era = era };
+
+  bl_name_set (&msg.from, bl_str_of ("a11"));
+  assert_int_equal (bl_msg_encode (&msg, &buffer), BL_OK);
+  bl_dispatch_message (d, now, (struct bl_addr){ 11, 2 }, buffer.ptr,
+                       buffer.len);
+  bl_buffer_free (&buffer);
+}
+
+static void
+test_agents_told_of_era (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof era_cases / sizeof era_cases[0]; i++)
+    {
+      struct observed observed = { .resets = 0 };
+      struct bl_dispatch *d = new_balancer (&observed);
+      add_agent (d, 10, 11, "s");
+      for (unsigned k = 1; k * ERA_STEP_MS < ERA_RUN_MS; k++)
+        {
+          uint64_t now = k * ERA_STEP_MS;
+          bool heard = observed.told >= era_cases[i].report_after;
+          if (k % REPORT_EACH == 0)
+            send_agent_status (d, now,
+                               heard ? era_cases[i].final_era
+                                     : era_cases[i].first_era);
+          if (now == ERA_NOTED_MS)
+            bl_dispatch_note_store_era (d, now, STORE_ERA);
+          if (now == ERA_NOTED_MS + ERA_STEP_MS)
+            bl_dispatch_note_store_era (d, now, STORE_ERA - 1);
+          bl_dispatch_tick (d, now);
+        }
+      printf ("%s: %u\n", era_cases[i].name, observed.told);
+      assert_in_range (observed.told, era_cases[i].least, era_cases[i].most);
+      bl_dispatch_free (d);
+    }
+}
+
 /* Guards against pulls that make a balancer send too much: a pull must be
    answered only with the records of buckets that differ, in few datagrams and
    within the budget for answers.  */
@@ -1158,6 +1230,7 @@
     cmocka_unit_test (test_denials_before_first_tick),
     cmocka_unit_test (test_comparison_with_peer),
     cmocka_unit_test (test_record_pulls),
+    cmocka_unit_test (test_agents_told_of_era),
     cmocka_unit_test (test_likely_owners_first),
     cmocka_unit_test (test_denials_of_complete_list),
     cmocka_unit_test (test_faults),
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -777,11 +777,37 @@
   bl_passthrough_free (p);
 }
 
+/* Guards against an agent that forgets the newest era of the store when another
+   balancer, which has not heard of it, requests a status.  */
+static void
+test_store_era (void **state)
+{
+  static const uint64_t told[] = { 0, 1, 3, 2, 0, 4 };
+  static const uint64_t want[] = { 0, 1, 3, 3, 3, 4 };
+  struct observed observed = { .delivered = 0 };
+  struct bl_passthrough *p = new_agent (&observed);
+
+  (void)state;
+  for (size_t i = 0; i < sizeof told / sizeof told[0]; i++)
+    {
+      struct bl_buffer buffer = { .len = 0 };
+      struct bl_msg msg = { .type = BL_MSG_STATUS_QUERY, .store_era = told[i] };
+      bl_name_set (&msg.from, bl_str_of ("b"));
+      assert_int_equal (bl_msg_encode (&msg, &buffer), BL_OK);
+      bl_passthrough_message (p, 10, (struct bl_addr){ 20, 2 }, buffer.ptr,
+                              buffer.len);
+      assert_int_equal (bl_passthrough_store_era (p), want[i]);
+      bl_buffer_free (&buffer);
+    }
+  bl_passthrough_free (p);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_states),
+    cmocka_unit_test (test_store_era),
     cmocka_unit_test (test_first_packets),
     cmocka_unit_test (test_refuses_when_saturated),
     cmocka_unit_test (test_requests_in_progress),
