boragelatchctl: report versions that a restore of the store has lost

What operators saw: after a restore, the tool accepted other routes under a version that balancers already had in force from before it. A write conditional on a revision of the old era was taken for a success, and a version lost while the tool waited was reported as in force.

Change: a new version must be above that of up to 32 balancers too, unless it repeats the version that the store has lost with the same content. A write that the store made in another era ends with exit status 3 and says what to check.

--- a/core/route_table.h
+++ b/core/route_table.h
@@ -7,6 +7,9 @@
 
 #define BL_SPLIT_MAX 8 /* services among which a route divides its flows */
 
+/* HTTP path at which a balancer serves the text of its routes in force.  */
+#define BL_ROUTES_PATH "/v1/routes"
+
 /* A service of a route and its share of the route's flows.  */
 struct bl_split
 {
--- a/ctl/store.c
+++ b/ctl/store.c
@@ -5,7 +5,11 @@
    condition that its revision is still the one that was read, so an operator
    cannot overwrite the change of another operator unnoticed.  New routes are
    validated before anything is written, with the parser that the balancers
-   use.  */
+   use.
+
+   A store that is restored from an older copy loses changes that balancers have
+   in force, and they never go back to an older version.  A new version must
+   therefore be above theirs, unless it repeats the version that was lost.  */
 
 #include "core/store.h"
 #include "ctl/ctl.h"
@@ -17,6 +21,11 @@
 #include <unistd.h>
 
 #define WAIT_POLL_MS 100 /* between two rounds of requests */
+/* Balancers that are asked for the newest routes; new routes reach all
+   balancers within seconds.  */
+#define BALANCERS_ASKED_MAX 32
+#define ROUTES_TIMEOUT_MS   2000
+#define URL_MAX_BYTES       128
 #define INSTANCES_MAX                                                          \
   16384 /* records read; further records are reported and left out */
 
@@ -41,7 +50,9 @@
 {
   fprintf (stderr, "the store at %s: %s\n", ctl->store,
            platform_store_result_name (result));
-  return result == PLATFORM_STORE_CONFLICT ? CTL_CONFLICT : CTL_UNREACHABLE;
+  return result == PLATFORM_STORE_CONFLICT || result == PLATFORM_STORE_RESTORED
+             ? CTL_CONFLICT
+             : CTL_UNREACHABLE;
 }
 
 /* -- instances -- */
@@ -367,6 +378,120 @@
   return CTL_NOT_IN_FORCE;
 }
 
+/* -- changes that a restore of the store has lost -- */
+
+/* The newest routes that a balancer has in force.  */
+struct newest_routes
+{
+  uint64_t version;       /* 0: no balancer answered */
+  struct bl_addr address; /* admin interface of that balancer */
+};
+
+static enum ctl_exit
+find_newest_routes (const struct ctl *ctl, struct newest_routes *out)
+{
+  struct stored_instances all;
+  enum ctl_exit status = read_instances (ctl, &all);
+  size_t asked = 0;
+
+  *out = (struct newest_routes){ .version = 0 };
+  for (size_t i = 0; i < all.count && asked < BALANCERS_ASKED_MAX; i++)
+    {
+      const struct bl_record *r = &all.records[i];
+      json_t *answer;
+      uint64_t version;
+      if (r->kind != BL_KIND_BALANCER || r->state >= BL_STATE_LEFT)
+        continue;
+      answer = get_status (r);
+      asked += answer != NULL ? 1 : 0;
+      version
+          = (uint64_t)json_integer_value (json_object_get (answer, "version"));
+      if (version > out->version)
+        *out = (struct newest_routes){ version, { r->ip, r->admin_port } };
+      json_decref (answer);
+    }
+  free (all.records);
+  return status;
+}
+
+/* Returns whether the routes in force at a balancer are those of TEXT.  */
+static bool
+has_routes (struct bl_addr balancer, struct bl_str text)
+{
+  struct io_object body = { .len = 0 };
+  char addr[BL_ADDR_TEXT_MAX];
+  char url[URL_MAX_BYTES];
+  json_t *theirs = NULL;
+  json_t *ours = json_loadb (text.ptr, text.len, 0, NULL);
+  bool same;
+
+  snprintf (url, sizeof url, "http://%s" BL_ROUTES_PATH,
+            bl_addr_format (balancer, addr));
+  if (io_http_request ("GET", url, NULL, ROUTES_TIMEOUT_MS, &body) == 200)
+    theirs = json_loadb (body.text, body.len, 0, NULL);
+  same = theirs != NULL && json_equal (theirs, ours);
+  json_decref (theirs);
+  json_decref (ours);
+  io_object_clear (&body);
+  return same;
+}
+
+/* Checks that balancers will accept the routes TEXT: their version is above
+   that in force, or they repeat a version that the store has lost.  */
+static enum ctl_exit
+compare_with_balancers (const struct ctl *ctl,
+                        const struct bl_route_table *new_table,
+                        struct bl_str text)
+{
+  struct newest_routes newest;
+  enum ctl_exit status = find_newest_routes (ctl, &newest);
+
+  if (status != CTL_OK || new_table->version > newest.version)
+    return status;
+  if (new_table->version == newest.version && has_routes (newest.address, text))
+    {
+      printf ("repeats version %lu, which the store has lost\n",
+              new_table->version);
+      return CTL_OK;
+    }
+  fprintf (stderr,
+           "version: must be above %lu, which balancers have in force and the "
+           "store has lost\n",
+           newest.version);
+  return CTL_REFUSED;
+}
+
+/* Returns CTL_CONFLICT if the store was restored after VERSION was written in
+   ERA, and has lost it.  */
+static enum ctl_exit
+check_kept (const struct ctl *ctl,
+            struct platform_store *store,
+            uint64_t version,
+            uint64_t era)
+{
+  struct stored_routes *now = calloc (1, sizeof *now);
+  enum platform_store_result result = PLATFORM_STORE_UNKNOWN;
+  bool lost;
+
+  if (now != NULL)
+    result = read_routes (store, now);
+  lost = result == PLATFORM_STORE_NOT_FOUND
+         || (result == PLATFORM_STORE_OK && now->position.era != era
+             && (now->table == NULL || now->table->version < version));
+  if (now != NULL)
+    bl_route_table_free (now->table);
+  free (now);
+  if (lost)
+    {
+      fprintf (stderr,
+               "the store was restored from an older copy and has lost version "
+               "%lu; write it again\n",
+               version);
+      return CTL_CONFLICT;
+    }
+  return result == PLATFORM_STORE_OK ? CTL_OK : report_result (ctl, result);
+}
+
 /* Replaces the object from which CURRENT was read by TEXT, which NEW_TABLE was
    parsed from.  */
 static enum ctl_exit
@@ -378,19 +503,32 @@
 {
   char *copy = strndup (text.ptr, text.len);
   enum platform_store_result result = PLATFORM_STORE_REFUSED;
+  enum ctl_exit status;
 
   if (copy != NULL)
     result
         = platform_store_put (store, PLATFORM_CONFIG_KIND, PLATFORM_CONFIG_NAME,
                               copy, &current->position);
   free (copy);
+  if (result == PLATFORM_STORE_RESTORED)
+    fprintf (stderr,
+             "the store was restored from an older copy while the routes were "
+             "written; version %lu may have replaced a change that was not "
+             "read; check with: show routes\n",
+             new_table->version);
   if (result == PLATFORM_STORE_UNKNOWN)
     fprintf (stderr, "the write was not acknowledged and may take effect; "
                      "check with: show routes\n");
   if (result != PLATFORM_STORE_OK)
     return report_result (ctl, result);
   printf ("accepted as version %lu\n", new_table->version);
-  return ctl->wait ? wait_until_in_force (ctl, new_table->version) : CTL_OK;
+  fflush (stdout);
+  if (!ctl->wait)
+    return CTL_OK;
+  status = wait_until_in_force (ctl, new_table->version);
+  if (status != CTL_OK)
+    return status;
+  return check_kept (ctl, store, new_table->version, current->position.era);
 }
 
 /* Prints the difference between the routes in the store and NEW_TABLE, and
@@ -403,6 +541,7 @@
                struct bl_str text)
 {
   enum platform_store_result result = read_routes (store, current);
+  enum ctl_exit status;
 
   if (result != PLATFORM_STORE_OK && result != PLATFORM_STORE_NOT_FOUND)
     return report_result (ctl, result);
@@ -412,6 +551,9 @@
                current->table->version);
       return CTL_REFUSED;
     }
+  status = compare_with_balancers (ctl, new_table, text);
+  if (status != CTL_OK)
+    return status;
   print_difference (current->table, new_table);
   if (ctl->dry_run)
     {
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -35,7 +35,6 @@
 #define ROUTES_WAIT_MAX_MS          15000
 #define INSTANCES_WAIT_MS           25000 /* longest wait of a watch */
 #define INSTANCES_PAUSE_MS          300 /* collects changes for the next call */
-#define ROUTES_PATH                 "/v1/routes"
 /* A balancer that reports that it is not ready continues for LEAVING_MIN_MS, in
    which the routers detect that state, and then until no packet has come for
    LEAVING_QUIET_MS, so that the routers have stopped sending to it.  */
@@ -571,7 +570,7 @@
   if (d->admin != NULL)
     {
       admin_add_handler (d->admin, PLATFORM_READY_PATH "$", on_readiness);
-      admin_add_handler (d->admin, ROUTES_PATH "$", on_routes_request);
+      admin_add_handler (d->admin, BL_ROUTES_PATH "$", on_routes_request);
       return 0;
     }
   io_log (IO_ERROR, "cannot_bind", "http_port=%u metrics_port=%lu",
@@ -598,7 +597,7 @@
     .random_seed = s->random_seed + 1,
   };
 
-  d->puller = puller_start (ROUTES_PATH, on_routes_pulled, d);
+  d->puller = puller_start (BL_ROUTES_PATH, on_routes_pulled, d);
   d->registry = registry_start (s->store, s->random_seed + 2);
   d->routes = follower_start (&routes, &routes_ops, d);
   d->instances = follower_start (&instances, &instances_ops, d);
--- a/test/process_store.sh
+++ b/test/process_store.sh
@@ -29,6 +29,11 @@
     \"maxConnections\":2000}],\"limits\":{\"idleTimeoutMs\":15000}}"
 }
 
+# balancer_has ID VERSION: succeeds if a balancer has that version in force
+balancer_has () {
+  [ "$(curl -sf "http://${IP_OF[$1]}:$HTTP/v1/status" | jq .version)" = "$2" ]
+}
+
 want 0 "version 1, 1 routes" show routes
 want 0 "198.18.0.1:443" show routes
 want 0 "b3" show balancers
@@ -54,5 +59,32 @@
 store_fault mode=up
 want 0 "accepted as version 10" routes "$RUN/moved"
 want 0 "198.18.0.1:444" show routes
+
+# The store is restored from a copy that lacks version 20.  Balancers keep it, so
+# other routes under that version are refused; version 20 may be repeated.
+store_fault copy=1
+want 0 "in force at every balancer" --wait routes <(routes 20 web 443)
+store_fault restore=1
+want 0 "version 10," show routes
+want 2 "must be above 20" routes <(routes 20 other 444)
+want 2 "must be above 20" routes <(routes 19 other 444)
+want 0 "repeats version 20" routes <(routes 20 web 443)
+want 0 "version 20," show routes
+
+# A version that is lost while the tool waits for it to be in force is reported.
+store_fault copy=1
+kill -STOP "${PID_OF[b2]}"
+start wait "$BIN/boragelatchctl" --store "$STORE_IP:8600" --wait routes <(routes 21 web 445)
+wait_for 10 grep -q "accepted as version 21" "$RUN/wait.out" ||
+  fail "version 21 is not accepted: $(cat "$RUN/wait.log")"
+wait_for 10 balancer_has b1 21 || fail "version 21 is not in force at b1"
+store_fault restore=1
+kill -CONT "${PID_OF[b2]}"
+wait "${PID_OF[wait]}"
+got=$?
+[ $got = 3 ] || fail "lost while waiting: status $got: $(cat "$RUN/wait.out" "$RUN/wait.log")"
+grep -q "has lost version 21" "$RUN/wait.log" || fail "not reported: $(cat "$RUN/wait.log")"
+want 0 "version 20," show routes
+
 want 1 "is not IP:PORT" --store nowhere show routes
 want 1 "must be given" --store "" routes "$RUN/moved"
