Retries of a watch do not wait, so that a restore shows at once

What callers saw: after a restore, acknowledged routes came into force up to 3.1 s after the store's return, over the 3 s that are aimed at.

Cause: the first call of a follower after an outage is a watch. The restored store may accept its revision, and then answers only at the end of the wait.

Change: a watch that repeats a failed call has no wait and accepts no stale answer.

Ruled out: shorter waits in general, which cost calls at all times.

--- a/daemon/follower.c
+++ b/daemon/follower.c
@@ -5,8 +5,12 @@
    different times: when the store has lost all its watches, one of the
    followers detects this soon.  When the store has discarded the history that a
    watch needs, or was restored from an older copy, the objects are listed
-   again. When the store does not answer, the call is retried from the same
-   position after an increasing back-off.  */
+   again.
+
+   When the store does not answer, the call is retried from the same position
+   after an increasing back-off.  Such a retry does not wait for changes: a
+   store that was restored meanwhile would let it wait for revisions that mean
+   other changes now.  Its answer shows the new era at once.  */
 
 #include "daemon/daemon.h"
 #include "platform/platform.h"
@@ -121,13 +125,14 @@
 }
 
 static enum platform_store_result
-watch_objects (struct follower *f)
+watch_objects (struct follower *f, bool is_retry)
 {
-  bool stale
-      = f->settings.allow_stale && io_now_ms () - f->listed_ms >= STALE_MAX_MS;
+  bool stale = f->settings.allow_stale && !is_retry
+               && io_now_ms () - f->listed_ms >= STALE_MAX_MS;
 
-  return platform_store_watch (f->store, f->settings.kind, next_wait_ms (f),
-                               stale, &f->visitor, &f->position);
+  return platform_store_watch (f->store, f->settings.kind,
+                               is_retry ? 0 : next_wait_ms (f), stale,
+                               &f->visitor, &f->position);
 }
 
 /* Reports a later era of the store.  */
@@ -166,7 +171,7 @@
       enum platform_store_result result;
       bool watching = f->listed;
       f->changed = false;
-      result = watching ? watch_objects (f) : list_objects (f);
+      result = watching ? watch_objects (f, attempt > 0) : list_objects (f);
       update_reachable (f, result, from);
       note_era (f);
       switch (result)
