A balancer that starts compares its routes with its peers first

What callers saw: a balancer that starts just after a restore reads older routes from the store and is ready with them, although the other balancers have newer ones in force, until a pull replaces them.

Evidence: test_routes_confirmed fails without the comparison (ready 270 ms before the newer routes arrive).

Change: while it starts, a balancer is ready only when a balancer that has been ready has answered and none has newer routes, or all that the store lists have answered or are suspect; after 1 s in any case. Two that start together do not confirm each other's routes. A store that states no era is never restored, so nothing is awaited there.

--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -142,8 +142,9 @@
    their records.  */
 void
 bl_dispatch_note_store_era (struct bl_dispatch *d, uint64_t now, uint64_t era);
-/* Returns true when packets of callers can be handled: there are routes, and at
-   least one agent that is not unreachable.  */
+/* Returns true when packets of callers can be handled: there are routes, which
+   were compared with those of other balancers if the store can be restored, and
+   at least one agent that is not unreachable.  */
 bool bl_dispatch_ready (const struct bl_dispatch *d);
 /* Starts a graceful stop: announces the state draining to other balancers.  */
 void bl_dispatch_drain (struct bl_dispatch *d, uint64_t now);
--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -108,7 +108,9 @@
   uint64_t now; /* time of the current call */
   uint64_t started_ms;
   struct bl_fleet fleet;
-  uint64_t store_era; /* newest of the platform's store; 0: not known */
+  bool routes_confirmed; /* no peer is known to have newer routes, see
+                            dispatch_state.c */
+  uint64_t store_era;    /* newest of the platform's store; 0: not known */
   struct bl_link_budget link_budget;
   struct bl_route_table *table;    /* owned; NULL until routes are configured */
   struct bl_tracked_flow *flows;   /* owned; hash table by key */
--- a/core/dispatch_state.c
+++ b/core/dispatch_state.c
@@ -4,12 +4,18 @@
    The state follows from the routes and records that the balancer holds, and is
    announced to other balancers: starting until it has routes and at least one
    agent that is not unreachable, then ready, and draining once a stop is
-   requested.  */
+   requested.
+
+   A store that was restored from an older copy shows older routes until they
+   are written again, while the balancers keep the newer ones.  A balancer that
+   starts then must not serve the older routes, so it is not ready until it has
+   compared its routes with its peers.  */
 
 #include "core/dispatch_inner.h"
 
-#define LIST_SETTLE_MS  300   /* after the store's list was read */
-#define START_SETTLE_MS 10000 /* after a start; records have spread by then */
+#define LIST_SETTLE_MS        300  /* after the store's list was read */
+#define ROUTES_CONFIRM_MAX_MS 1000 /* for the comparison of routes */
+#define START_SETTLE_MS       10000 /* after a start; records have spread by then */
 
 static const char *const counter_names[] = {
   [BL_DISPATCH_FORWARDED] = "packets_forwarded",
@@ -89,13 +95,65 @@
          || (d->started_ms != 0 && d->now - d->started_ms > START_SETTLE_MS);
 }
 
+/* Returns true if the answers of other balancers, as far as they have come,
+   show whether the routes held are the newest: a balancer that has been ready
+   has answered, or all that the store lists have answered or are suspect.  */
+static bool
+peers_have_answered (const struct bl_dispatch *d)
+{
+  bool all = d->list_read_ms != 0;
+  struct bl_instance *instance;
+  struct bl_instance *next;
+
+  HASH_ITER (hh, d->fleet.instances, instance, next)
+  {
+    if (instance->record.kind != BL_KIND_BALANCER
+        || instance->record.state >= BL_STATE_LEFT)
+      continue;
+    if (instance->last_message_ms != 0
+        && instance->record.state != BL_STATE_STARTING)
+      return true;
+    if (instance->last_message_ms == 0 && !instance->suspect)
+      all = false;
+  }
+  return all;
+}
+
+/* Returns true if another balancer has newer routes.  */
+static bool
+is_behind_peer (const struct bl_dispatch *d)
+{
+  struct bl_instance *instance;
+  struct bl_instance *next;
+
+  HASH_ITER (hh, d->fleet.instances, instance, next)
+  {
+    if (instance->config_version > d->table->version)
+      return true;
+  }
+  return false;
+}
+
+/* A store that states no era is never restored, so it shows the newest
+   routes.  */
+static void
+update_routes_confirmed (struct bl_dispatch *d)
+{
+  if (d->routes_confirmed || d->table == NULL)
+    return;
+  d->routes_confirmed = d->store_era == 0
+                        || d->now - d->started_ms > ROUTES_CONFIRM_MAX_MS
+                        || (!is_behind_peer (d) && peers_have_answered (d));
+}
+
 /* At least one agent must be reachable to accept flows.  After a start no agent
    is unreachable yet, so the record of one agent is enough.  Once all agents
    are unreachable, this process is isolated.  */
 bool
 bl_dispatch_ready (const struct bl_dispatch *d)
 {
-  return d->table != NULL && d->fleet.backend_count > 0
+  return d->table != NULL && (d->routes_confirmed || d->store_era == 0)
+         && d->fleet.backend_count > 0
          && d->fleet.unreachable_count < d->fleet.backend_count;
 }
 
@@ -124,6 +182,7 @@
 {
   if (d->settings.self.state == BL_STATE_DRAINING)
     return;
+  update_routes_confirmed (d);
   set_state (d, bl_dispatch_ready (d) ? BL_STATE_READY : BL_STATE_STARTING);
 }
 
--- a/daemon/follower.c
+++ b/daemon/follower.c
@@ -57,12 +57,27 @@
     }
 }
 
+/* Reports a later era of the store.  */
+static void
+note_era (struct follower *f)
+{
+  uint64_t era = platform_store_era (f->store);
+
+  if (era <= f->newest_era)
+    return;
+  f->newest_era = era;
+  if (f->ops.restored != NULL)
+    f->ops.restored (f->ctx, era);
+}
+
 static void
 on_object (void *ctx, struct bl_str name, uint64_t revision, const char *text)
 {
   struct follower *f = ctx;
 
   f->changed = true;
+  /* The objects count as read in the era of this answer.  */
+  note_era (f);
   f->ops.visit (f->ctx, name, revision, text);
 }
 
@@ -135,19 +150,6 @@
                                &f->visitor, &f->position);
 }
 
-/* Reports a later era of the store.  */
-static void
-note_era (struct follower *f)
-{
-  uint64_t era = platform_store_era (f->store);
-
-  if (era <= f->newest_era)
-    return;
-  f->newest_era = era;
-  if (f->ops.restored != NULL)
-    f->ops.restored (f->ctx, era);
-}
-
 /* Gives up the position; the objects are listed again.  */
 static void
 give_up_position (struct follower *f, enum platform_store_result result)
--- a/test/process_restore.sh
+++ b/test/process_restore.sh
@@ -83,3 +83,35 @@
 store_fault restore=1
 wait_for 15 is_stored w1 "$new_w1" || fail "w1 is stored as $(stored w1), not $new_w1"
 wait_for 15 is_stored w5 "$new_w5" || fail "w5 is stored as $(stored w5), not $new_w5"
+
+# A balancer that starts while the store shows older routes must not serve them.
+wait_for 20 is_quiet || fail "the store is not quiet"
+store_fault copy=1
+put_routes 4 web 8080 || fail "version 4"
+wait_for 10 in_force 4 || fail "version 4 is not in force"
+store_fault mode=away
+store_fault restore=1
+stop b2
+start_dispatcher b2 dc2
+tries=1000
+until dispatcher_ready b2 >/dev/null; do
+  tries=$((tries - 1))
+  [ $tries -gt 0 ] || fail "b2 does not become ready"
+done
+[ "$(version_of b2)" = 4 ] || fail "b2 became ready with version $(version_of b2)"
+in_force 4 || fail "a balancer went back to an older version"
+
+# Two restores in a row, then further routes.
+store_fault copy=1
+put_routes 5 web 8080
+store_fault mode=away
+store_fault restore=repeat
+store_fault mode=away
+store_fault restore=repeat
+wait_for 15 in_force 5 || fail "version 5 is not in force after two restores"
+put_routes 6 web 8080
+wait_for 15 in_force 6 || fail "version 6 is not in force after two restores"
+callers last --users 4 --requests 5 --seed 8
+wait "${PID_OF[last]}" || fail "last: $(cat "$RUN/last.out")"
+[ "$(result last answered)" = 20 ] || fail "last: $(tail -1 "$RUN/last.out")"
+kept last
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -804,6 +804,97 @@
     }
 }
 
+/* Guards against a balancer that starts just after a restore of the store and
+   serves older routes than the others have in force.  */
+static const struct
+{
+  const char *name;
+  uint64_t era;                /* of the store */
+  enum bl_instance_state peer; /* left: the store lists none */
+  uint64_t peer_version;       /* in its status; 0: it does not answer */
+  uint64_t pulled_ms;          /* when its routes arrive; 0: never */
+  bool starter;                /* another one starts too, and answers first */
+  uint64_t earliest_ms;        /* first tick at which it is ready */
+  uint64_t latest_ms;
+} confirmations[] = {
+  { "a store without eras", 0, BL_STATE_READY, 0, 0, false, 30, 30 },
+  { "no other balancer", 1, BL_STATE_LEFT, 0, 0, false, 30, 30 },
+  { "a ready one with the same routes", 1, BL_STATE_READY, 1, 0, false, 90,
+    90 },
+  { "one that drains, with older routes", 1, BL_STATE_DRAINING, 1, 0, false, 90,
+    90 },
+  { "one that starts too", 1, BL_STATE_STARTING, 1, 0, false, 90, 90 },
+  { "a ready one with newer routes", 1, BL_STATE_READY, 2, 300, false, 300,
+    300 },
+  { "newer routes that never come", 1, BL_STATE_READY, 2, 0, false, 1000,
+    1040 },
+  { "one that does not answer", 1, BL_STATE_READY, 0, 0, false, 170, 200 },
+  { "a starter before a ready one with newer routes", 1, BL_STATE_READY, 2, 300,
+    true, 300, 300 },
+};
+
+#define BASE_MS    10000 /* start */
+#define LISTED_MS  30    /* the store's list was read */
+#define STARTER_MS 60    /* the one that starts too answers */
+#define STATUS_MS  90    /* the other balancer answers */
+
+static void
+send_peer_version (struct bl_dispatch *d,
+                   uint64_t now,
+                   uint32_t peer,
+                   uint64_t version)
+{
+  char name[16];
+  struct bl_buffer buffer = { .len = 0 };
+  struct bl_msg msg = { .type = BL_MSG_STATUS, .config_version = version };
+
+  snprintf (name, sizeof name, "b%u", peer);
+  bl_name_set (&msg.from, bl_str_of (name));
+  assert_int_equal (bl_msg_encode (&msg, &buffer), BL_OK);
+  bl_dispatch_message (d, now, (struct bl_addr){ peer, 2 }, buffer.ptr,
+                       buffer.len);
+  bl_buffer_free (&buffer);
+}
+
+static void
+test_routes_confirmed (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof confirmations / sizeof confirmations[0]; i++)
+    {
+      struct observed observed = { .resets = 0 };
+      struct bl_dispatch *d = new_balancer (&observed);
+      uint64_t ready_ms = 0;
+      bl_dispatch_note_store_era (d, BASE_MS, confirmations[i].era);
+      for (uint64_t ms = 10; ready_ms == 0 && ms < 2000; ms += 10)
+        {
+          uint64_t now = BASE_MS + ms;
+          if (ms == LISTED_MS)
+            {
+              add_agent (d, now, 11, "s");
+              if (confirmations[i].peer != BL_STATE_LEFT)
+                add_balancer (d, 20, confirmations[i].peer);
+              if (confirmations[i].starter)
+                add_balancer (d, 21, BL_STATE_STARTING);
+              bl_dispatch_list_complete (d, now);
+            }
+          if (ms == STATUS_MS && confirmations[i].peer_version > 0)
+            send_peer_version (d, now, 20, confirmations[i].peer_version);
+          if (ms == STARTER_MS && confirmations[i].starter)
+            send_peer_version (d, now, 21, 1);
+          if (ms == confirmations[i].pulled_ms)
+            bl_dispatch_configure (d, now, new_routes (2, "s", NULL));
+          bl_dispatch_tick (d, now);
+          if (bl_dispatch_ready (d))
+            ready_ms = ms;
+        }
+      printf ("%s: ready at %lu\n", confirmations[i].name, ready_ms);
+      assert_in_range (ready_ms, confirmations[i].earliest_ms,
+                       confirmations[i].latest_ms);
+      bl_dispatch_free (d);
+    }
+}
+
 /* Guards against pulls that make a balancer send too much: a pull must be
    answered only with the records of buckets that differ, in few datagrams and
    within the budget for answers.  */
@@ -1231,6 +1322,7 @@
     cmocka_unit_test (test_comparison_with_peer),
     cmocka_unit_test (test_record_pulls),
     cmocka_unit_test (test_agents_told_of_era),
+    cmocka_unit_test (test_routes_confirmed),
     cmocka_unit_test (test_likely_owners_first),
     cmocka_unit_test (test_denials_of_complete_list),
     cmocka_unit_test (test_faults),
