Transport ip: a restored object API is caught up with by the relays

What operators saw: after the object API came back from an older copy, an accepted version was in force nowhere, or a lost version was given out again with another content, so that nodes with the same version had different configurations.

A relay goes on with a watch from a version of the root object that was given out again; a version that the copy lacks is written by nobody; boragelatchctl takes the version of the restored root as the newest, and a conditional write on a version of the old era as a success, although the parts that it wrote before may be lost.

Change: the client reads Store-Era; a version is kept with its era. A watch that ends unchanged in another era is reported as "restored", and the root is read again. A relay keeps the texts of the root and of the parts that it read; when a restored platform holds an older root, it writes the missing parts and the root again (daemon/root_copy.c). A retry of a watch does not wait. The stand-in gains copy, away, restore and the era.

Why it works: nodes never go back, so the newest version in force is the one that the platform has to reach; keys of parts are hashes of their contents and the root is conditional, so relays can write at the same time.

--- a/ctl/change.c
+++ b/ctl/change.c
@@ -8,6 +8,10 @@
    that write is lost, the same write is repeated; a conflict then is the effect
    of the lost write if the root that is in force contains the id of the change.
 
+   A platform that was restored from an older copy may lack versions that the
+   balancers have in force.  The relays write these again, so a change waits
+   until the platform has caught up; a version is never given out twice.
+
    If another change was accepted meanwhile, the edits are applied to the new
    root, unless one of the same services was changed; that is a conflict.  */
 
@@ -34,9 +38,11 @@
      does not write.  */
   char replaced_keys[BL_ROOT_PARTS][BL_PART_KEY_MAX];
   char written_keys[BL_ROOT_PARTS][BL_PART_KEY_MAX];
-  uint64_t root_object_version; /* 0: there is no root object */
-  struct bl_service_list list;  /* services of the parts read */
-  uint64_t base_version;        /* of the configuration that was read first */
+  char *written_texts[BL_ROOT_PARTS]; /* owned */
+  struct io_kv_position position;     /* of the root object; version 0: none */
+  bool restored; /* the root was written in another era than it was read */
+  struct bl_service_list list; /* services of the parts read */
+  uint64_t base_version;       /* of the configuration that was read first */
   struct bl_findings findings;
 };
 
@@ -67,12 +73,12 @@
         break;
       usleep (io_kv_backoff_ms (p->kv, i) * 1000);
     }
-  p->root_object_version = object.version;
+  p->position = (struct io_kv_position){ object.era, object.version };
   memset (&p->root, 0, sizeof p->root);
   if (result == IO_KV_NOT_FOUND)
     {
       p->root.next_id = 1;
-      p->root_object_version = 0;
+      p->position.version = 0;
     }
   else if (result != IO_KV_OK)
     status = report_unreachable (p, "reading the root");
@@ -161,6 +167,45 @@
   return status;
 }
 
+/* Returns the version that the admin balancer has in force, or 0 if it does not
+   answer.  */
+static uint64_t
+version_in_force (const struct pending_change *p)
+{
+  json_t *status = ctl_status (p->ctl->admin);
+  json_int_t version = json_integer_value (json_object_get (status, "version"));
+
+  json_decref (status);
+  return version > 0 ? (uint64_t)version : 0;
+}
+
+/* Reads the configuration; while a balancer has a newer version in force, which
+   a restore of the platform has lost, reads it again until the relays have
+   written that version.  */
+static enum ctl_exit
+read_newest_configuration (struct pending_change *p)
+{
+  uint64_t in_force = version_in_force (p);
+  uint64_t end_ms = io_now_ms () + (uint64_t)p->ctl->timeout_s * 1000;
+  enum ctl_exit status = read_configuration (p);
+
+  for (unsigned i = 1;
+       status == CTL_OK && p->root.version < in_force && io_now_ms () < end_ms;
+       i++)
+    {
+      usleep (io_kv_backoff_ms (p->kv, i) * 1000);
+      status = read_configuration (p);
+    }
+  if (status != CTL_OK || p->root.version >= in_force)
+    return status;
+  fprintf (
+      stderr,
+      "the platform was restored from an older copy: it holds version %lu, "
+      "and version %lu is in force; nothing was changed, try again later\n",
+      p->root.version, in_force);
+  return CTL_CONFLICT;
+}
+
 /* -- conflicts -- */
 
 static void
@@ -197,14 +242,40 @@
 
 /* -- writing -- */
 
+/* Writes the text of part INDEX.  The key is a hash of the content, so a
+   conflict means that an object with the same content exists already.  */
+static enum ctl_exit
+put_part (struct pending_change *p, unsigned index)
+{
+  const char *text = p->written_texts[index];
+  struct io_kv_position position = { .version = 0 };
+  const struct io_kv_position none = { .version = 0 };
+  enum io_kv_result result = IO_KV_UNKNOWN;
+
+  for (unsigned i = 1; i <= ATTEMPTS_MAX && result == IO_KV_UNKNOWN; i++)
+    {
+      result = io_kv_put (p->kv, p->written_keys[index], none, text,
+                          strlen (text), &position);
+      if (result == IO_KV_UNKNOWN)
+        usleep (io_kv_backoff_ms (p->kv, i) * 1000);
+    }
+  if (result == IO_KV_REFUSED)
+    {
+      fprintf (stderr,
+               "part %u of the configuration is too large for the platform\n",
+               index);
+      return CTL_REFUSED;
+    }
+  return result == IO_KV_UNKNOWN ? report_unreachable (p, "writing a part")
+                                 : CTL_OK;
+}
+
 /* Writes part INDEX as a new object and references it in the root.  */
 static enum ctl_exit
 write_part (struct pending_change *p, unsigned index)
 {
   struct bl_service_list part_services = { .count = 0 };
   struct bl_part *part = &p->root.parts[index];
-  enum io_kv_result result = IO_KV_UNKNOWN;
-  uint64_t version;
   char *text;
 
   for (size_t i = 0; i < p->list.count; i++)
@@ -216,24 +287,19 @@
   bl_part_key (part->key, bl_str_of (text));
   memcpy (p->written_keys[index], part->key, BL_PART_KEY_MAX);
   part->changed = p->root.version;
-  /* The key is a hash of the content, so a conflict means that an object with
-     the same content exists already.  */
-  for (unsigned i = 1; i <= ATTEMPTS_MAX && result == IO_KV_UNKNOWN; i++)
-    {
-      result = io_kv_put (p->kv, part->key, 0, text, strlen (text), &version);
-      if (result == IO_KV_UNKNOWN)
-        usleep (io_kv_backoff_ms (p->kv, i) * 1000);
-    }
-  free (text);
-  if (result == IO_KV_REFUSED)
+  free (p->written_texts[index]);
+  p->written_texts[index] = text;
+  return put_part (p, index);
+}
+
+static void
+free_written_texts (struct pending_change *p)
+{
+  for (size_t i = 0; i < BL_ROOT_PARTS; i++)
     {
-      fprintf (stderr,
-               "part %u of the configuration is too large for the platform\n",
-               index);
-      return CTL_REFUSED;
+      free (p->written_texts[i]);
+      p->written_texts[i] = NULL;
     }
-  return result == IO_KV_UNKNOWN ? report_unreachable (p, "writing a part")
-                                 : CTL_OK;
 }
 
 static enum ctl_exit
@@ -250,6 +316,25 @@
   return status;
 }
 
+/* Handles a root that was written in another era than it was read: its parts
+   may be lost, and it may have replaced a change that was not read.  */
+static enum ctl_exit
+settle_restored (struct pending_change *p)
+{
+  enum ctl_exit status = CTL_OK;
+
+  p->restored = true;
+  for (unsigned i = 0; i < BL_ROOT_PARTS && status == CTL_OK; i++)
+    if (p->written_texts[i] != NULL)
+      status = put_part (p, i);
+  fprintf (stderr,
+           "the platform was restored from an older copy while change %s was "
+           "written; it may have replaced a change that was not read; look at: "
+           "show changes\n",
+           p->change.id.s);
+  return status == CTL_OK ? CTL_CONFLICT : status;
+}
+
 /* Writes the root until the outcome is certain.  Returns CTL_CONFLICT if the
    root was changed by another change and does not contain this one.  */
 static enum ctl_exit
@@ -257,18 +342,23 @@
 {
   char *text = bl_root_format (&p->root);
   enum ctl_exit status = CTL_UNREACHABLE;
-  uint64_t expected = p->root_object_version;
-  uint64_t version;
+  const struct io_kv_position expected = p->position;
+  struct io_kv_position position;
 
   for (unsigned i = 1; i <= ATTEMPTS_MAX; i++)
     {
       enum io_kv_result result = io_kv_put (p->kv, BL_ROOT_KEY, expected, text,
-                                            strlen (text), &version);
+                                            strlen (text), &position);
       if (result == IO_KV_OK)
         {
           status = CTL_OK;
           break;
         }
+      if (result == IO_KV_RESTORED)
+        {
+          status = settle_restored (p);
+          break;
+        }
       if (result == IO_KV_REFUSED)
         {
           fprintf (stderr,
@@ -337,7 +427,7 @@
 static enum ctl_exit
 prepare_change (struct pending_change *p, bool first)
 {
-  enum ctl_exit status = read_configuration (p);
+  enum ctl_exit status = read_newest_configuration (p);
 
   if (status != CTL_OK)
     return status;
@@ -403,13 +493,13 @@
   status = write_parts (p);
   if (status == CTL_OK)
     status = write_root (p);
-  *retry = status == CTL_CONFLICT;
+  *retry = status == CTL_CONFLICT && !p->restored;
   if (status == CTL_OK)
     {
       print_accepted (p);
       delete_unreferenced_parts (p, p->replaced_keys);
     }
-  if (status == CTL_CONFLICT || status == CTL_REFUSED)
+  if ((status == CTL_CONFLICT && !p->restored) || status == CTL_REFUSED)
     delete_unreferenced_parts (p, p->written_keys);
   return status;
 }
@@ -455,6 +545,7 @@
       fprintf (stderr, "refused: nothing was changed\n");
     }
   bl_service_list_clear (&p->list);
+  free_written_texts (p);
   return status;
 }
 
--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -6,10 +6,14 @@
    node, which distributes them.  Reading is idempotent, so several relays at a
    time do no harm, and an instance that becomes a relay again continues from
    the version that its node then holds.  Failures are retried with back-off;
-   meanwhile the last configuration stays in force.  */
+   meanwhile the last configuration stays in force.
+
+   A platform that was restored from an older copy gives out versions of objects
+   again, so a watch from one of an earlier era is not continued.  A
+   configuration that the restore has lost is written again.  */
 
-#include "core/root.h"
 #include "daemon/daemon.h"
+#include "daemon/root_copy.h"
 
 #include <pthread.h>
 #include <stdlib.h>
@@ -28,6 +32,9 @@
   struct relay_ops ops;
   void *ctx;
   struct io_rate_limit fault_limit;
+  struct root_copy copy;          /* the configuration last read */
+  struct io_kv_position position; /* of the root object last read; version 0:
+                                     none */
 };
 
 /* The changed services of several parts.  */
@@ -84,13 +91,16 @@
   return BL_OK;
 }
 
-/* Reads the part KEY and collects its services that changed after FROM.  */
+/* Reads part INDEX of ROOT and collects its services that changed after
+   FROM.  */
 static int
 read_part (struct relay *r,
-           const char *key,
+           const struct bl_root *root,
+           size_t index,
            uint64_t from,
            struct collected_services *collected)
 {
+  const char *key = root->parts[index].key;
   struct io_object object = { .len = 0 };
   struct bl_findings findings = { .count = 0 };
   struct bl_service **services;
@@ -104,7 +114,7 @@
     }
   err = bl_part_parse (&services, &count,
                        (struct bl_str){ object.text, object.len }, &findings);
-  io_object_clear (&object);
+  root_copy_set_part (&r->copy, index, object.text);
   if (err != BL_OK)
     {
       log_fault (r, findings.items[0].place, findings.items[0].text);
@@ -129,7 +139,7 @@
       int err;
       if (part->key[0] == '\0' || part->changed <= from)
         continue;
-      err = read_part (r, part->key, from, collected);
+      err = read_part (r, root, i, from, collected);
       if (err != BL_OK)
         return err;
     }
@@ -162,6 +172,29 @@
   return BL_OK;
 }
 
+/* Writes the configuration again if OBJECT, which holds ROOT, is the root of a
+   platform that was restored and has lost it.  Returns BL_ESTALE if the root
+   has to be read again.  */
+static int
+write_lost_root (struct relay *r,
+                 const struct bl_root *root,
+                 const struct io_object *object)
+{
+  struct io_kv_position current = { object->era, object->version };
+  enum io_kv_result result;
+
+  if (root->version >= r->copy.root.version || object->era == r->position.era)
+    return BL_OK;
+  result = root_copy_write (&r->copy, r->kv, current);
+  io_log (result == IO_KV_OK ? IO_INFO : IO_WARN, "configuration_restored",
+          "era=%lu held=%lu version=%lu result=%d", object->era, root->version,
+          r->copy.root.version, (int)result);
+  /* A part is lost for good; the nodes keep what they have.  */
+  if (result == IO_KV_NOT_FOUND)
+    return BL_OK;
+  return BL_ESTALE;
+}
+
 static int
 apply_root_object (struct relay *r, const struct io_object *object)
 {
@@ -174,8 +207,16 @@
                          &findings);
   if (err == BL_EFORMAT)
     log_fault (r, findings.items[0].place, findings.items[0].text);
+  if (err == BL_OK)
+    err = write_lost_root (r, root, object);
   if (err == BL_OK)
     err = apply_root (r, root);
+  if (err == BL_OK)
+    {
+      root_copy_set_root (&r->copy, root,
+                          (struct bl_str){ object->text, object->len });
+      r->position = (struct io_kv_position){ object->era, object->version };
+    }
   free (root);
   return err;
 }
@@ -185,7 +226,6 @@
 {
   struct relay *r = ctx;
   struct io_object object = { .len = 0 };
-  uint64_t root_object_version = 0; /* as last applied; 0: none */
   unsigned attempt = 0;
 
   while (!r->stop_requested)
@@ -196,15 +236,15 @@
           interruptible_sleep (r, POLL_INTERVAL_MS);
           continue;
         }
-      result = io_kv_watch (r->kv, BL_ROOT_KEY, root_object_version,
-                            WATCH_TIMEOUT_S, &object);
+      /* A retry does not wait, so that its answer shows a restore at once.  */
+      result = io_kv_watch (r->kv, BL_ROOT_KEY, r->position,
+                            attempt > 0 ? 0 : WATCH_TIMEOUT_S, &object);
       if (result == IO_KV_OK && apply_root_object (r, &object) == BL_OK)
-        {
-          root_object_version = object.version;
-          attempt = 0;
-        }
+        attempt = 0;
       else if (result == IO_KV_UNCHANGED)
         attempt = 0;
+      else if (result == IO_KV_RESTORED)
+        r->position.version = 0; /* reads the root whatever its version */
       else if (!r->stop_requested)
         {
           if (result == IO_KV_UNKNOWN)
@@ -247,6 +287,7 @@
   io_kv_cancel (relay->kv);
   pthread_join (relay->thread, NULL);
   io_kv_free (relay->kv);
+  root_copy_clear (&relay->copy);
   free (relay);
 }
 
--- a/io/io.h
+++ b/io/io.h
@@ -200,18 +200,29 @@
   IO_KV_NOT_FOUND,
   IO_KV_CONFLICT, /* the version is not the expected one */
   IO_KV_UNKNOWN,  /* no usable response: a write may have taken effect */
+  IO_KV_RESTORED, /* the platform was restored from an older copy since the
+                     position that the call was given */
   IO_KV_REFUSED,  /* invalid request, so a retry fails as well; a call
                            that returns an object stores the reason in TEXT */
 };
 
 struct io_kv;
 
+/* The version of an object.  When the platform is restored from an older copy,
+   it begins a new era, in which it gives out versions of the last one again. */
+struct io_kv_position
+{
+  uint64_t era;     /* 0: the platform states none */
+  uint64_t version; /* 0: no object */
+};
+
 /* Value and version of an object, or the body of a response.  Zero-initialise
    before use; free with io_object_clear.  */
 struct io_object
 {
   uint64_t version;
-  char *text; /* owned; null-terminated; NULL if empty */
+  uint64_t era; /* in which the platform answered; 0: it stated none */
+  char *text;   /* owned; null-terminated; NULL if empty */
   size_t len;
 };
 
@@ -225,23 +236,26 @@
 /* Reads the object KEY.  */
 enum io_kv_result
 io_kv_get (struct io_kv *kv, const char *key, struct io_object *out);
-/* Waits up to TIMEOUT_S until the version of the object KEY differs from
-   VERSION, and reads the object.  */
+/* Waits up to TIMEOUT_S until the version of the object KEY differs from that
+   of SEEN, and reads the object.  Returns IO_KV_RESTORED if the version is the
+   same but in another era.  */
 enum io_kv_result io_kv_watch (struct io_kv *kv,
                                const char *key,
-                               uint64_t version,
+                               struct io_kv_position seen,
                                unsigned timeout_s,
                                struct io_object *out);
-/* Writes the object KEY if its version is EXPECTED, or creates it if EXPECTED
-   is 0.  Stores the version that the platform returned in *VERSION, or 0 if it
-   returned none.  Returns IO_KV_REFUSED if LEN is above
-   BL_VALUE_MAX_BYTES.  */
+/* Writes the object KEY if its version is that of EXPECTED, or creates it if
+   that is 0.  Stores what the platform returned in *POSITION, version 0 if it
+   returned none.  If the platform does so in another era than that of EXPECTED,
+   the version was perhaps that of another change; the result is then
+   IO_KV_RESTORED although the write took effect.  Returns IO_KV_REFUSED if LEN
+   is above BL_VALUE_MAX_BYTES.  */
 enum io_kv_result io_kv_put (struct io_kv *kv,
                              const char *key,
-                             uint64_t expected,
+                             struct io_kv_position expected,
                              const char *text,
                              size_t len,
-                             uint64_t *version);
+                             struct io_kv_position *position);
 #define IO_KV_ANY_VERSION UINT64_MAX
 
 /* Deletes the object KEY if its version is EXPECTED, or in any version if
--- a/io/kv.c
+++ b/io/kv.c
@@ -4,7 +4,9 @@
    An object is identified by a key.  Its version is sent in the ETag header,
    and a write is conditional on a version (If-Match, If-None-Match).  A write
    without a response may have taken effect.  The client reports this result as
-   IO_KV_UNKNOWN and never repeats a write.  */
+   IO_KV_UNKNOWN and never repeats a write.  The header Store-Era of each
+   response tells whether the platform was restored from an older copy since an
+   earlier one; the versions of that one then belong to other changes.  */
 
 #include "io/io.h"
 
@@ -88,20 +90,23 @@
   return len;
 }
 
-/* Header callback of libcurl: reads the version from the ETag header.  */
+/* Header callback of libcurl: reads the version from the ETag header, and the
+   era.  */
 static size_t
-read_version (char *data, size_t size, size_t count, void *ctx)
+read_header (char *data, size_t size, size_t count, void *ctx)
 {
   struct io_object *out = ctx;
   char line[64];
   size_t len = size * count;
 
-  if (len < sizeof line && strncasecmp (data, "etag:", 5) == 0)
-    {
-      memcpy (line, data, len);
-      line[len] = '\0';
-      sscanf (line + 5, " \"%lu", &out->version);
-    }
+  if (len >= sizeof line)
+    return len;
+  memcpy (line, data, len);
+  line[len] = '\0';
+  if (strncasecmp (line, "etag:", 5) == 0)
+    sscanf (line + 5, " \"%lu", &out->version);
+  if (strncasecmp (line, "store-era:", 10) == 0)
+    sscanf (line + 10, "%lu", &out->era);
   return len;
 }
 
@@ -129,7 +134,7 @@
   curl_easy_setopt (curl, CURLOPT_TIMEOUT_MS, (long)call->timeout_ms);
   curl_easy_setopt (curl, CURLOPT_WRITEFUNCTION, append_body);
   curl_easy_setopt (curl, CURLOPT_WRITEDATA, call->out);
-  curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, read_version);
+  curl_easy_setopt (curl, CURLOPT_HEADERFUNCTION, read_header);
   curl_easy_setopt (curl, CURLOPT_HEADERDATA, call->out);
   curl_easy_setopt (curl, CURLOPT_NOPROGRESS, 0L);
   curl_easy_setopt (curl, CURLOPT_XFERINFOFUNCTION, check_cancelled);
@@ -258,7 +263,7 @@
 enum io_kv_result
 io_kv_watch (struct io_kv *kv,
              const char *key,
-             uint64_t version,
+             struct io_kv_position seen,
              unsigned timeout_s,
              struct io_object *out)
 {
@@ -267,10 +272,15 @@
     .timeout_ms = timeout_s * 1000 + CALL_TIMEOUT_MS,
     .out = out,
   };
+  enum io_kv_result result;
   char query[64];
 
-  snprintf (query, sizeof query, "?watch=%lu&timeout_s=%u", version, timeout_s);
-  return call_object_api (kv, key, query, &call);
+  snprintf (query, sizeof query, "?watch=%lu&timeout_s=%u", seen.version,
+            timeout_s);
+  result = call_object_api (kv, key, query, &call);
+  if (result == IO_KV_UNCHANGED && out->era != seen.era)
+    return IO_KV_RESTORED;
+  return result;
 }
 
 static void
@@ -285,10 +295,10 @@
 enum io_kv_result
 io_kv_put (struct io_kv *kv,
            const char *key,
-           uint64_t expected,
+           struct io_kv_position expected,
            const char *text,
            size_t len,
-           uint64_t *version)
+           struct io_kv_position *position)
 {
   struct io_object out = { .len = 0 };
   char condition[64];
@@ -304,10 +314,13 @@
 
   if (len > BL_VALUE_MAX_BYTES)
     return IO_KV_REFUSED;
-  format_condition (condition, sizeof condition, expected);
+  format_condition (condition, sizeof condition, expected.version);
   result = call_object_api (kv, key, "", &call);
-  *version = out.version;
+  *position = (struct io_kv_position){ out.era, out.version };
   io_object_clear (&out);
+  if (result == IO_KV_OK && expected.version != 0
+      && position->era != expected.era)
+    return IO_KV_RESTORED;
   return result;
 }
 
--- a/standin/platform.c
+++ b/standin/platform.c
@@ -8,6 +8,12 @@
      hide_parts=N         the next N reads of parts of the configuration find
                           none
      refuse_root=N        the next N writes of the root are refused
+     copy=1               takes a copy of all objects
+     mode=away            calls get no answer and watches are cut, until another
+                          mode or a restore
+     restore=1            comes back from the copy: what was written since is
+                          lost, versions are given out again, a new era begins
+   Every answer states the era in the header Store-Era.
    GET /stats reports the number of calls; a watch counts as one call.  */
 
 #include <civetweb.h>
@@ -45,7 +51,12 @@
   pthread_cond_t changed;
   struct object *objects; /* by key */
   uint64_t next_version;
+  struct object *copy; /* by key */
+  uint64_t copy_next_version;
+  uint64_t era;
+  uint64_t interruptions; /* incremented when all waiting watches are cut */
   bool down;
+  bool away;
   int slow_ms;
   int lose_answers; /* writes left that get no response */
   int hide_parts;   /* reads of parts left that find none */
@@ -57,6 +68,7 @@
   .mutex = PTHREAD_MUTEX_INITIALIZER,
   .changed = PTHREAD_COND_INITIALIZER,
   .next_version = 1,
+  .era = 1,
 };
 
 static volatile sig_atomic_t stopped;
@@ -76,9 +88,9 @@
          size_t len)
 {
   mg_printf (conn,
-             "HTTP/1.1 %d x\r\nETag: \"%lu\"\r\nContent-Length: %zu\r\n"
-             "Content-Type: application/json\r\n\r\n",
-             status, version, len);
+             "HTTP/1.1 %d x\r\nETag: \"%lu\"\r\nStore-Era: %lu\r\n"
+             "Content-Length: %zu\r\nContent-Type: application/json\r\n\r\n",
+             status, version, state.era, len);
   if (len > 0)
     mg_write (conn, body, len);
   return status;
@@ -128,6 +140,14 @@
   return 200;
 }
 
+/* Closes the connection without an answer.  */
+static int
+close_unanswered (struct mg_connection *conn)
+{
+  mg_close_connection (conn);
+  return 499;
+}
+
 /* Handles GET.  With watch=VERSION it waits up to timeout_s until the object
    has another version (0: no object), and else responds with 304.  */
 static int
@@ -136,6 +156,7 @@
             const char *key)
 {
   long watch = query_number (info, "watch", -1);
+  uint64_t interruptions;
   struct timespec until;
   struct object *o;
 
@@ -143,8 +164,14 @@
   until.tv_sec += query_number (info, "timeout_s", 0);
   pthread_mutex_lock (&state.mutex);
   watch >= 0 ? state.watches++ : state.reads++;
+  interruptions = state.interruptions;
   for (;;)
     {
+      if (interruptions != state.interruptions)
+        {
+          pthread_mutex_unlock (&state.mutex);
+          return close_unanswered (conn);
+        }
       o = find_object (key);
       if (state.hide_parts > 0
           && strncmp (key, PART_PREFIX, PART_PREFIX_LEN) == 0)
@@ -255,10 +282,7 @@
   state.lose_answers -= lost ? 1 : 0;
   pthread_mutex_unlock (&state.mutex);
   if (lost)
-    {
-      mg_close_connection (conn);
-      return 499;
-    }
+    return close_unanswered (conn);
   return respond (conn, 200, version, "", 0);
 }
 
@@ -292,6 +316,8 @@
   (void)ctx;
   if (state.slow_ms > 0)
     usleep ((useconds_t)state.slow_ms * 1000);
+  if (state.away)
+    return close_unanswered (conn);
   if (state.down)
     return respond (conn, 503, 0, "", 0);
   if (strlen (key) == 0 || strlen (key) >= KEY_MAX_BYTES)
@@ -305,6 +331,57 @@
   return respond (conn, 405, 0, "", 0);
 }
 
+static void
+free_objects (struct object **objects)
+{
+  struct object *o;
+  struct object *next;
+
+  HASH_ITER (hh, *objects, o, next)
+  {
+    HASH_DEL (*objects, o);
+    free (o->value);
+    free (o);
+  }
+}
+
+/* Replaces the objects TO by copies of FROM.  */
+static void
+copy_objects (struct object **to, struct object *from)
+{
+  struct object *o;
+  struct object *next;
+
+  free_objects (to);
+  HASH_ITER (hh, from, o, next)
+  {
+    struct object *c = calloc (1, sizeof *c);
+    memcpy (c->key, o->key, sizeof c->key);
+    c->version = o->version;
+    c->len = o->len;
+    c->value = malloc (o->len + 1);
+    memcpy (c->value, o->value, o->len + 1);
+    HASH_ADD_STR (*to, key, c);
+  }
+}
+
+static void
+take_copy (void)
+{
+  copy_objects (&state.copy, state.objects);
+  state.copy_next_version = state.next_version;
+}
+
+static void
+restore_copy (void)
+{
+  copy_objects (&state.objects, state.copy);
+  state.next_version = state.copy_next_version;
+  state.era++;
+  state.away = false;
+  state.interruptions++;
+}
+
 static int
 on_fault (struct mg_connection *conn, void *ctx)
 {
@@ -317,8 +394,16 @@
   mg_get_var (q, strlen (q), "mode", mode, sizeof mode);
   if (strcmp (mode, "down") == 0)
     state.down = true;
+  if (strcmp (mode, "away") == 0)
+    state.interruptions++;
   if (strcmp (mode, "up") == 0)
     state.down = false;
+  if (mode[0] != '\0')
+    state.away = strcmp (mode, "away") == 0;
+  if (query_number (info, "copy", 0) > 0)
+    take_copy ();
+  if (query_number (info, "restore", 0) > 0)
+    restore_copy ();
   state.slow_ms = (int)query_number (info, "slow_ms", state.slow_ms);
   state.lose_answers
       = (int)query_number (info, "lose_answers", state.lose_answers);
