soak: the store comes back from an older copy

Two more faults: a restore from a copy up to 3 s old after being away for up to a second, once and twice in a row; the operator's writes are repeated.

--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -7,7 +7,8 @@
 # of overlapping faults from outside:
 # - processes are killed, stopped, paused and restarted, also several times in a
 #   row, with clocks that differ;
-# - the store is down, or loses answers or its history;
+# - the store is down, loses answers or its history, or comes back from a copy
+#   some seconds old;
 # - routes change, backend servers drain and join;
 # - standin-wire, between all instances, delays, drops and blocks datagrams in
 #   one direction, and delays, resets and silences streams.
@@ -41,7 +42,7 @@
 VERSION=1
 
 # pick WORDS...: sets PICK to one of WORDS at random
-pick () { PICK=${!1}; local all=("$@"); PICK=${all[$((RANDOM % $#))]}; }
+pick () { local all=("$@"); PICK=${all[$((RANDOM % $#))]}; }
 
 restart_agent () { start_passthrough "$1" "dc$((1 + RANDOM % 3))" web; }
 restart_balancer () { start_dispatcher "$1" "dc${1#b}"; }
@@ -75,6 +76,16 @@
   stop_agent "$1"
 }
 
+# The store is away for up to a second and comes back from a copy that is up to
+# 3 s old; the operator's writes are repeated.
+restore_store () {
+  store_fault copy=1
+  sleep $((RANDOM % 3)).$((RANDOM % 9))
+  store_fault mode=away
+  sleep 0.$((RANDOM % 9))
+  store_fault restore=repeat
+}
+
 # Injects one random fault; faults in the background overlap with the next.
 inject_fault () {
   local b w
@@ -82,7 +93,7 @@
   pick "${SERVERS[@]}"; w=$PICK
   # Clock offset of the next process that starts.
   CLOCK=$((RANDOM % 4 * 2500))
-  case $((RANDOM % 20)) in
+  case $((RANDOM % 22)) in
     0) echo "kill $b"; kill -KILL "${PID_OF[$b]}"; sleep 0.5; restart_balancer $b ;;
     1) echo "stop $b"; stop $b; restart_balancer $b ;;
     2) echo "pause $b"; pause $b 1 & ;;
@@ -105,9 +116,19 @@
     17) echo "streams reset"; wire reset ;;
     18) echo "streams silent"; wire silence ;;
     19) echo "restart agent $w twice"; restart_twice $w ;;
+    20) echo "store restored"; restore_store & ;;
+    21) echo "store restored twice"; (restore_store; restore_store) & ;;
   esac
 }
 
+# routes_in_force VERSION: succeeds if every balancer has that version in force
+routes_in_force () {
+  local b
+  for b in b1 b2 b3; do
+    [ "$(curl -sf "http://${IP_OF[$b]}:$HTTP/v1/status" | jq .version)" = "$1" ] || return 1
+  done
+}
+
 check_invariants () {
   [ -z "$(cat "$RUN"/*-server.out | grep forged)" ] || fail "a packet was changed"
   [ -z "$(cat "$RUN"/o?-server.out)" ] || fail "another service ran requests"
@@ -144,12 +165,13 @@
   sleep 0.$((RANDOM % 9))
   check_invariants
 done
-sleep 3
+sleep 7 # longer than the faults in the background
 store_fault mode=up
 wire mend
 put_routes $((VERSION + 1)) web
 for b in b1 b2 b3; do wait_for 15 dispatcher_ready $b || fail "$b is not ready"; done
 wait_for 15 agents_known 6 || fail "balancers lack records of agents"
+wait_for 15 routes_in_force $((VERSION + 1)) || fail "routes $((VERSION + 1)) are not in force"
 sleep 6 # until requests that have begun end
 kill -TERM "${PID_OF[long]}"
 callers last --users 30 --requests 10 --once 4 --seed $((SEED * 2 + 1))
