test_store_client: both clients across a restore, against a scripted server

Guards against a revision of an earlier era that is taken as valid: watch, list in pages, update, create, conflict, missing object; for the object API of transport ip a watch that ends unchanged and a write.

--- a/Makefile
+++ b/Makefile
@@ -77,7 +77,8 @@
             $(EMULATOR) $(B)/libboragelatch.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS) -lcmocka
 
-$(B)/test_platform: $(B)/test/test_platform.o $(PLATFORM) $(IO) $(B)/libboragelatch.a
+$(B)/test_platform $(B)/test_store_client: $(B)/test_%: $(B)/test/test_%.o \
+    $(PLATFORM) $(IO) $(B)/libboragelatch.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS) $(IO_LIBS) -lcmocka
 
 $(B)/bench_%: $(B)/bench/bench_%.o $(IO) $(FAKE) $(B)/test/flood.o $(B)/bench/baseline.o \
