--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -205,6 +205,10 @@
 void follower_stop (struct follower *follower);
 /* Changes the longest wait of the next watches.  Any thread may call it.  */
 void follower_set_wait (struct follower *follower, unsigned wait_ms);
+/* Sets the time over which the followers of all instances spread the lists that
+   they make again when the store has lost their positions.  Any thread may call
+   it.  */
+void follower_set_relist_spread (struct follower *follower, unsigned spread_ms);
 /* Returns the number of calls made to the store.  */
 uint64_t follower_calls (const struct follower *follower);
 
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -35,6 +35,10 @@
 #define ROUTES_WAIT_MAX_MS          15000
 #define INSTANCES_WAIT_MS           25000 /* longest wait of a watch */
 #define INSTANCES_PAUSE_MS          300 /* collects changes for the next call */
+/* A restore of the store makes all balancers list the instances again, which is
+   spread so that all together read a thousand pages a second.  Meanwhile the
+   balancers compare their records with each other.  */
+#define RELIST_MS_PER_PAGE 1
 /* A balancer that reports that it is not ready continues for LEAVING_MIN_MS, in
    which the routers detect that state, and then until no packet has come for
    LEAVING_QUIET_MS, so that the routers have stopped sending to it.  */
@@ -481,14 +485,31 @@
     io_loop_stop (d->loop);
 }
 
+/* Returns the number of balancers, including this one.  */
+static size_t
+balancer_count (const struct dispatcher *d)
+{
+  const struct bl_fleet *fleet = bl_dispatch_fleet (d->core);
+
+  return HASH_COUNT (fleet->instances) - fleet->backend_count + 1;
+}
+
+/* Returns the time over which all balancers spread their lists.  */
+static unsigned
+relist_spread_ms (const struct dispatcher *d)
+{
+  const struct bl_fleet *fleet = bl_dispatch_fleet (d->core);
+  size_t pages = HASH_COUNT (fleet->instances) / PLATFORM_STORE_PAGE + 1;
+
+  return (unsigned)(balancer_count (d) * pages * RELIST_MS_PER_PAGE);
+}
+
 /* Returns the longest wait of a watch of the routes, for the current number of
    balancers.  */
 static unsigned
 routes_wait_ms (const struct dispatcher *d)
 {
-  const struct bl_fleet *fleet = bl_dispatch_fleet (d->core);
-  size_t balancers = HASH_COUNT (fleet->instances) - fleet->backend_count + 1;
-  size_t ms = balancers * ROUTES_WAIT_PER_BALANCER_MS;
+  size_t ms = balancer_count (d) * ROUTES_WAIT_PER_BALANCER_MS;
 
   if (ms < ROUTES_WAIT_MIN_MS)
     return ROUTES_WAIT_MIN_MS;
@@ -502,6 +523,7 @@
 
   bl_dispatch_tick (d->core, io_now_ms ());
   follower_set_wait (d->routes, routes_wait_ms (d));
+  follower_set_relist_spread (d->instances, relist_spread_ms (d));
   if (daemon_take_reload_request ())
     decision_log_reload (d->log, d->settings);
   if (daemon_stop_requested ())
--- a/daemon/follower.c
+++ b/daemon/follower.c
@@ -35,6 +35,7 @@
   struct bl_random random;
   volatile bool stop_requested;
   volatile unsigned wait_ms;
+  volatile unsigned relist_spread_ms;
   bool reachable;                          /* as of the last call */
   struct platform_store_position position; /* where the next watch begins */
   bool changed;        /* the current call returned an object */
@@ -187,6 +188,8 @@
         case PLATFORM_STORE_RESTORED:
           give_up_position (f, result);
           interruptible_sleep (f, attempt > 0 ? backoff_ms (f, attempt) : 0);
+          interruptible_sleep (
+              f, bl_random_below (&f->random, f->relist_spread_ms));
           attempt++;
           break;
         default:
@@ -241,6 +244,12 @@
   follower->wait_ms = wait_ms;
 }
 
+void
+follower_set_relist_spread (struct follower *follower, unsigned spread_ms)
+{
+  follower->relist_spread_ms = spread_ms;
+}
+
 uint64_t
 follower_calls (const struct follower *follower)
 {
