An owner found by elimination is no evidence for a reset

Cause: a balancer makes an agent the owner of a flow because it is the only one that did not return a probe, although the real owner, which restarts, has not answered. That agent had left: its message is dropped, since an instance that has left has no address.

Ruled out: servers that lost the flow (they served further packets of it).

Change: an instance that has left is not probed, its open probe is closed, its answer is not awaited. Elimination needs the answers of all others and only presumes an owner; when that one is gone, the flow is looked up again instead of reset; a claim confirms or replaces it. The log states "claimed" for claims, which were logged as "not_returned" when a probe was open.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -163,6 +163,7 @@
 {
   f->phase = BL_PHASE_OPEN;
   f->owner = owner;
+  f->owner_presumed = false;
   f->owner_backend_start = backend_start;
   f->owner_incarnation = owner->record.incarnation;
   f->phase_start_ms = d->now;
@@ -253,7 +254,10 @@
 {
   if (owner_is_gone (f))
     {
-      if (raw->packet->payload_len > 0)
+      /* Another agent may be the owner.  */
+      if (f->owner_presumed)
+        bl_lookup_start (d, f, raw);
+      else if (raw->packet->payload_len > 0)
         bl_dispatch_reset_flow (d, f, BL_DISPATCH_LOST, "backend_gone");
       return;
     }
@@ -377,6 +381,21 @@
     agent->backend_start = link->backend_start;
 }
 
+/* Handles the claim of an agent to a flow whose owner is known.  Only an owner
+   that was presumed is replaced.  */
+static void
+on_claim (struct bl_dispatch *d,
+          struct bl_tracked_flow *f,
+          struct bl_instance *from,
+          const struct bl_link_msg *link)
+{
+  if (!f->owner_presumed)
+    return;
+  bl_dispatch_log_decision (d, "owner_found", "claimed_later", &f->key, from,
+                            d->now - f->phase_start_ms);
+  bl_tracked_flow_set_owner (d, f, from, link->backend_start);
+}
+
 /* Handles a packet that an agent returned because its backend server does not
    hold the flow.  */
 static void
@@ -427,6 +446,8 @@
     case BL_LINK_INCOMPLETE:
       if (f->phase == BL_PHASE_OWNER_LOOKUP)
         bl_lookup_on_reply (d, f, agent, link);
+      else if (f->phase == BL_PHASE_OPEN && link->type == BL_LINK_OWNED)
+        on_claim (d, f, agent, link);
       break;
     default:
       d->counters[BL_DISPATCH_MALFORMED]++;
@@ -471,6 +492,23 @@
          && bl_fleet_is_connected (&d->fleet);
 }
 
+/* Resets F, whose owner is gone.  If the owner was only presumed, the flow is
+   looked up again with the caller's next packet.  */
+static void
+give_up (struct bl_dispatch *d, struct bl_tracked_flow *f)
+{
+  const char *reason
+      = f->owner->unreachable ? "backend_silent" : "backend_gone";
+
+  if (!f->owner_presumed)
+    {
+      bl_dispatch_reset_flow (d, f, BL_DISPATCH_LOST, reason);
+      return;
+    }
+  bl_dispatch_log_decision (d, "owner_given_up", reason, &f->key, f->owner, 0);
+  bl_tracked_flow_remove (d, f);
+}
+
 static void
 sweep (struct bl_dispatch *d)
 {
@@ -485,9 +523,7 @@
     if (d->now - f->last_packet_ms > idle_ms + IDLE_MARGIN_MS)
       bl_tracked_flow_remove (d, f);
     else if (is_lost (d, f))
-      bl_dispatch_reset_flow (d, f, BL_DISPATCH_LOST,
-                              f->owner->unreachable ? "backend_silent"
-                                                    : "backend_gone");
+      give_up (d, f);
   }
 }
 
--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -83,6 +83,8 @@
   uint32_t first_seq; /* sequence number of the caller's first packet */
   uint32_t last_ack;  /* acknowledgement number of the caller's last packet */
   struct bl_instance *owner;
+  bool owner_presumed; /* found by elimination: the owner has not claimed the
+                          flow */
   uint64_t owner_backend_start; /* start time of the owner's backend server */
   uint64_t owner_incarnation;
   size_t offer_count;
--- a/core/dispatch_lookup.c
+++ b/core/dispatch_lookup.c
@@ -23,7 +23,12 @@
    from it belongs to another flow of the same port and starts the lookup anew.
    An agent that stopped in order to restart is waited for.  If any agent that
    is not unreachable leaves its query unanswered, the lookup has no result and
-   the packet is dropped.  */
+   the packet is dropped.
+
+   A single agent that does not return its probe in time is presumed to be the
+   owner if all others have denied the flow.  This is no evidence for a reset,
+   since the probe may have been lost: if that agent leaves before it has
+   claimed the flow, the flow is looked up again.  */
 
 #include "core/dispatch_inner.h"
 
@@ -35,6 +40,15 @@
 #define RANKED_AGENTS_MAX 512 /* of a service; any others come after them */
 #define ACK_WINDOW        (1u << 20) /* span of a flow's sequence numbers */
 
+/* Returns true if the backend server of AGENT may hold flows: it has not left,
+   and no other instance has taken over its address.  Such an agent's replies
+   are not received any more.  */
+static bool
+may_hold_flows (const struct bl_instance *agent)
+{
+  return agent->record.state < BL_STATE_LEFT;
+}
+
 static bool
 is_queried (const struct bl_dispatch_owner_lookup *lookup,
             const struct bl_instance *agent)
@@ -253,6 +267,7 @@
                 struct bl_tracked_flow *f,
                 struct bl_instance *owner,
                 uint64_t backend_start,
+                const char *reason,
                 bool send)
 {
   struct bl_dispatch_class *c
@@ -261,8 +276,8 @@
   if (c != NULL)
     bl_histogram_add (&c->lookup_times, d->now - f->phase_start_ms);
   d->counters[BL_DISPATCH_OWNERS_FOUND]++;
-  bl_dispatch_log_decision (d, "owner_found", send ? "claimed" : "not_returned",
-                            &f->key, owner, d->now - f->phase_start_ms);
+  bl_dispatch_log_decision (d, "owner_found", reason, &f->key, owner,
+                            d->now - f->phase_start_ms);
   /* If a probe found the owner, the owner has the first packet already.  */
   for (size_t i = send ? 0 : 1; i < f->held_count; i++)
     bl_dispatch_forward (d, f, owner, f->held[i].ptr, f->held[i].len);
@@ -280,7 +295,8 @@
     {
       if (lookup->open_probes == OPEN_PROBES_MAX)
         break;
-      if (lookup->queried[i].reply != BL_REPLY_INCOMPLETE)
+      if (lookup->queried[i].reply != BL_REPLY_INCOMPLETE
+          || !may_hold_flows (lookup->queried[i].instance))
         continue;
       lookup->queried[i].reply = BL_REPLY_PROBED;
       lookup->open_probes++;
@@ -299,6 +315,7 @@
 {
   for (size_t i = 0; i < lookup->count; i++)
     if (lookup->queried[i].reply == BL_REPLY_NONE
+        && may_hold_flows (lookup->queried[i].instance)
         && !bl_instance_is_gone (lookup->queried[i].instance, d->now))
       return false;
   return true;
@@ -334,7 +351,7 @@
 
   if (link->type == BL_LINK_OWNED)
     {
-      on_owner_found (d, f, from, link->backend_start,
+      on_owner_found (d, f, from, link->backend_start, "claimed",
                       queried == NULL || queried->reply != BL_REPLY_PROBED);
       return;
     }
@@ -364,8 +381,22 @@
   advance (d, f);
 }
 
-/* Handles probes that were not returned in time.  If only one is open, its
-   agent is taken to be the owner.  Otherwise the held packets are dropped:
+/* Closes the probes of agents that have left since.  */
+static void
+close_left_probes (struct bl_dispatch_owner_lookup *lookup)
+{
+  for (size_t i = 0; i < lookup->count; i++)
+    if (lookup->queried[i].reply == BL_REPLY_PROBED
+        && !may_hold_flows (lookup->queried[i].instance))
+      {
+        lookup->queried[i].reply = BL_REPLY_NOT_OWNED;
+        lookup->open_probes--;
+      }
+}
+
+/* Handles probes that were not returned in time.  If only one is open and all
+   other agents have denied the flow, its agent is presumed to be the owner.
+   Otherwise the held packets are dropped:
    either one of the backend servers holds the flow, which its agent reports
    with the next packet of the backend server, or a probe was lost.  */
 static void
@@ -377,8 +408,12 @@
   for (size_t i = 0; i < lookup->count; i++)
     if (lookup->queried[i].reply == BL_REPLY_PROBED)
       only = &lookup->queried[i];
-  if (lookup->open_probes == 1 && only != NULL)
-    on_owner_found (d, f, only->instance, only->instance->backend_start, false);
+  if (lookup->open_probes == 1 && only != NULL && all_answered (d, lookup))
+    {
+      on_owner_found (d, f, only->instance, only->instance->backend_start,
+                      "not_returned", false);
+      f->owner_presumed = true;
+    }
   else
     drop_held (d, f, "no_answer");
 }
@@ -388,6 +423,7 @@
 {
   struct bl_dispatch_owner_lookup *lookup = &f->lookup;
 
+  close_left_probes (lookup);
   if (lookup->open_probes > 0)
     {
       if (d->now - lookup->last_probe_ms > PROBE_TIMEOUT_MS)
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -763,14 +763,19 @@
 #define REPORT_EACH  5 /* steps between the messages of the agent */
 
 static void
-send_agent_status (struct bl_dispatch *d, uint64_t now, uint64_t era)
+send_agent_status (struct bl_dispatch *d,
+                   uint64_t now,
+                   uint32_t ip,
+                   uint64_t era)
 {
   struct bl_buffer buffer = { .len = 0 };
   struct bl_msg msg = { .type = BL_MSG_STATUS, .store_era = era };
+  char name[16];
 
-  bl_name_set (&msg.from, bl_str_of ("a11"));
+  snprintf (name, sizeof name, "a%u", ip);
+  bl_name_set (&msg.from, bl_str_of (name));
   assert_int_equal (bl_msg_encode (&msg, &buffer), BL_OK);
-  bl_dispatch_message (d, now, (struct bl_addr){ 11, 2 }, buffer.ptr,
+  bl_dispatch_message (d, now, (struct bl_addr){ ip, 2 }, buffer.ptr,
                        buffer.len);
   bl_buffer_free (&buffer);
 }
@@ -789,7 +794,7 @@
           uint64_t now = k * ERA_STEP_MS;
           bool heard = observed.told >= era_cases[i].report_after;
           if (k % REPORT_EACH == 0)
-            send_agent_status (d, now,
+            send_agent_status (d, now, 11,
                                heard ? era_cases[i].final_era
                                      : era_cases[i].first_era);
           if (now == ERA_NOTED_MS)
@@ -1252,6 +1257,193 @@
   bl_dispatch_free (d);
 }
 
+/* Guards against the reset of an open flow whose agent only restarts: while
+   that agent does not answer, another one, whose flow table is incomplete, must
+   not become the owner by elimination, and its leaving is no reason for a
+   reset.  */
+enum lookup_event
+{
+  EVENT_END,
+  DATA,       /* the caller sends a packet with payload */
+  OWNED,      /* agent 11 or 12 claims the flow */
+  DENIED,     /* or does not own it */
+  INCOMPLETE, /* or cannot tell */
+  LEFT,       /* or announces that its backend server has left */
+  STARTING,   /* or announces that it restarts */
+};
+
+struct lookup_step
+{
+  enum lookup_event event;
+  uint64_t now;
+  uint32_t ip;
+};
+
+/* Agent 13 denies each query at once, and is never silent.  */
+static const struct
+{
+  const char *name;
+  struct lookup_step steps[9];
+  unsigned resets;
+  unsigned last_packets; /* sent to agents after the last step */
+} eliminations[] = {
+  { "the probed agent leaves while another one restarts",
+    { { STARTING, 11000, 11 },
+      { DATA, 11010, 0 },
+      { INCOMPLETE, 11020, 12 },
+      { LEFT, 11220, 12 } },
+    0,
+    0 },
+  { "and the restarted one claims the next packet",
+    { { STARTING, 11000, 11 },
+      { DATA, 11010, 0 },
+      { INCOMPLETE, 11020, 12 },
+      { LEFT, 11220, 12 },
+      { DATA, 11600, 0 },
+      { OWNED, 11610, 11 } },
+    0,
+    1 },
+  { "it leaves after its probe has timed out",
+    { { STARTING, 11000, 11 },
+      { DATA, 11010, 0 },
+      { INCOMPLETE, 11020, 12 },
+      { LEFT, 11400, 12 } },
+    0,
+    0 },
+  { "an owner by elimination leaves: the flow is looked up again",
+    { { DENIED, 11000, 11 },
+      { DATA, 11010, 0 },
+      { DENIED, 11015, 11 },
+      { INCOMPLETE, 11020, 12 },
+      { LEFT, 11400, 12 },
+      { DATA, 12000, 0 },
+      { OWNED, 12010, 11 } },
+    0,
+    1 },
+  { "and reset if all deny it then",
+    { { DENIED, 11000, 11 },
+      { DATA, 11010, 0 },
+      { DENIED, 11015, 11 },
+      { INCOMPLETE, 11020, 12 },
+      { LEFT, 11400, 12 },
+      { DATA, 12000, 0 },
+      { DENIED, 12010, 11 } },
+    1,
+    0 },
+  { "one that has claimed the flow since leaves: the flow is reset",
+    { { DENIED, 11000, 11 },
+      { DATA, 11010, 0 },
+      { DENIED, 11015, 11 },
+      { INCOMPLETE, 11020, 12 },
+      { OWNED, 11200, 12 },
+      { LEFT, 11400, 12 } },
+    1,
+    0 },
+  { "no owner by elimination while another one has not answered",
+    { { STARTING, 11000, 11 },
+      { DATA, 11010, 0 },
+      { INCOMPLETE, 11020, 12 },
+      { DATA, 11400, 0 } },
+    0,
+    0 },
+  { "an agent that has left is not awaited",
+    { { DATA, 11010, 0 }, { DENIED, 11015, 11 }, { LEFT, 11020, 12 } },
+    1,
+    0 },
+  { "another one claims the flow of an owner by elimination",
+    { { DENIED, 11000, 11 },
+      { DATA, 11010, 0 },
+      { DENIED, 11015, 11 },
+      { INCOMPLETE, 11020, 12 },
+      { OWNED, 11200, 11 },
+      { LEFT, 11400, 12 },
+      { DATA, 12000, 0 } },
+    0,
+    1 },
+};
+
+#define ELIMINATION_END_MS 13000
+
+static void
+announce_agent (struct bl_dispatch *d,
+                uint64_t now,
+                uint32_t ip,
+                enum bl_instance_state agent_state)
+{
+  struct bl_record r = {
+    .kind = BL_KIND_BACKEND,
+    .state = agent_state,
+    .ip = ip,
+    .data_port = 1,
+    .control_port = 2,
+    .incarnation = 1,
+    .seq = 2,
+  };
+  char name[16];
+
+  snprintf (name, sizeof name, "a%u", ip);
+  bl_name_set (&r.id, bl_str_of (name));
+  bl_name_set (&r.dc, bl_str_of ("dc"));
+  bl_name_set (&r.service, bl_str_of ("s"));
+  bl_dispatch_apply_record (d, now, &r);
+}
+
+static void
+pass_lookup_step (struct bl_dispatch *d, const struct lookup_step *s)
+{
+  switch (s->event)
+    {
+    case DATA:
+      send_data (d, s->now);
+      send_agent_reply (d, s->now + 1, 13, BL_LINK_NOT_OWNED);
+      break;
+    case OWNED:
+      send_agent_reply (d, s->now, s->ip, BL_LINK_OWNED);
+      break;
+    case DENIED:
+      send_agent_reply (d, s->now, s->ip, BL_LINK_NOT_OWNED);
+      break;
+    case INCOMPLETE:
+      send_agent_reply (d, s->now, s->ip, BL_LINK_INCOMPLETE);
+      break;
+    default:
+      announce_agent (d, s->now, s->ip,
+                      s->event == LEFT ? BL_STATE_LEFT : BL_STATE_STARTING);
+      break;
+    }
+}
+
+static void
+test_owner_by_elimination (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof eliminations / sizeof eliminations[0]; i++)
+    {
+      struct observed observed = { .resets = 0 };
+      struct bl_dispatch *d = new_balancer (&observed);
+      const struct lookup_step *s = eliminations[i].steps;
+      unsigned before = 0;
+      for (uint32_t ip = 11; ip < 14; ip++)
+        add_agent (d, 10000, ip, "s");
+      bl_dispatch_list_complete (d, 10000);
+      for (uint64_t now = 10010; now < ELIMINATION_END_MS; now += 10)
+        {
+          for (; s->event != EVENT_END && s->now <= now; s++)
+            {
+              before = observed.packets;
+              pass_lookup_step (d, s);
+            }
+          send_agent_status (d, now, 13, 0);
+          bl_dispatch_tick (d, now);
+        }
+      printf ("%s: resets %u\n", eliminations[i].name, observed.resets);
+      assert_int_equal (observed.resets, eliminations[i].resets);
+      assert_int_equal (observed.packets - before,
+                        eliminations[i].last_packets);
+      bl_dispatch_free (d);
+    }
+}
+
 /* Guards against callers that wait for an unreachable owner, and against resets
    by an isolated balancer: the owner of a flow stops replying.  While the other
    agents reply, it counts as unreachable and the flow is reset; when they stop
@@ -1322,6 +1514,7 @@
     cmocka_unit_test (test_comparison_with_peer),
     cmocka_unit_test (test_record_pulls),
     cmocka_unit_test (test_agents_told_of_era),
+    cmocka_unit_test (test_owner_by_elimination),
     cmocka_unit_test (test_routes_confirmed),
     cmocka_unit_test (test_likely_owners_first),
     cmocka_unit_test (test_denials_of_complete_list),
