Bound the nesting of JSON before it is parsed

Cause: the parser recurses for each level of nesting, up to 2048 levels; the HTTP server's threads have a stack of about 100 KB.

An unreadable heartbeat is answered with 400, one of 64 KB or more with 413, counted, and changes nothing, as shorter ones were before.

--- a/core/edit.c
+++ b/core/edit.c
@@ -6,6 +6,7 @@
    changes have modified in the meantime.  */
 
 #include "core/edit.h"
+#include "core/json.h"
 
 #include <jansson.h>
 #include <stdio.h>
@@ -348,7 +349,7 @@
                     struct bl_findings *findings)
 {
   json_error_t error;
-  json_t *json = json_loadb (text.ptr, text.len, 0, &error);
+  json_t *json = bl_json_parse (text, &error);
   char place[BL_FINDING_PLACE_MAX];
   size_t n = json_array_size (json);
 
--- a/core/msg.c
+++ b/core/msg.c
@@ -6,6 +6,7 @@
    length cannot exhaust the memory.  */
 
 #include "core/msg.h"
+#include "core/json.h"
 #include "core/bounds.h"
 #include "core/store.h"
 
@@ -430,7 +431,7 @@
 parse_service_text (struct bl_service **out, struct bl_str text)
 {
   struct bl_findings findings = { .count = 0 };
-  json_t *json = json_loadb (text.ptr, text.len, 0, NULL);
+  json_t *json = bl_json_parse (text, NULL);
   int err;
 
   *out = NULL;
--- a/core/record.c
+++ b/core/record.c
@@ -3,6 +3,7 @@
    A record with a member that is missing or out of range is rejected.  */
 
 #include "core/store.h"
+#include "core/json.h"
 
 #include <jansson.h>
 #include <string.h>
@@ -53,7 +54,7 @@
 int
 bl_record_parse (struct bl_record *record, const char *text)
 {
-  json_t *json = json_loads (text, 0, NULL);
+  json_t *json = bl_json_parse (bl_str_of (text), NULL);
   bool valid = json_is_object (json);
   bool has_service = true;
 
--- a/core/root.c
+++ b/core/root.c
@@ -11,6 +11,7 @@
    to them and they have no effect.  */
 
 #include "core/root.h"
+#include "core/json.h"
 
 #include <inttypes.h>
 #include <jansson.h>
@@ -153,7 +154,7 @@
                struct bl_findings *findings)
 {
   json_error_t error;
-  json_t *json = json_loadb (text.ptr, text.len, 0, &error);
+  json_t *json = bl_json_parse (text, &error);
 
   memset (root, 0, sizeof *root);
   if (!json_is_object (json))
@@ -236,7 +237,7 @@
                struct bl_str text,
                struct bl_findings *findings)
 {
-  json_t *json = json_loadb (text.ptr, text.len, 0, NULL);
+  json_t *json = bl_json_parse (text, NULL);
   size_t n = json_array_size (json);
   struct bl_service **list;
   int err;
--- a/ctl/query.c
+++ b/ctl/query.c
@@ -6,6 +6,7 @@
    then each instance reports its own status.  */
 
 #include "core/root.h"
+#include "core/json.h"
 #include "ctl/ctl.h"
 
 #include <stdio.h>
@@ -25,7 +26,7 @@
 
   snprintf (url, sizeof url, "http://%s/v1/status", addr);
   if (io_http_request ("GET", url, NULL, STATUS_TIMEOUT_MS, &body) == 200)
-    json = json_loadb (body.text, body.len, 0, NULL);
+    json = bl_json_parse ((struct bl_str){ body.text, body.len }, NULL);
   io_object_clear (&body);
   return json;
 }
@@ -247,7 +248,7 @@
       result = io_kv_get (kv, root->parts[i].key, &object);
       if (result != IO_KV_OK)
         break;
-      part = json_loadb (object.text, object.len, 0, NULL);
+      part = bl_json_parse ((struct bl_str){ object.text, object.len }, NULL);
       if (json_array_extend (services, part) != 0)
         result = IO_KV_REFUSED;
       json_decref (part);
--- a/ctl/store.c
+++ b/ctl/store.c
@@ -12,6 +12,7 @@
    therefore be above theirs, unless it repeats the version that was lost.  */
 
 #include "core/store.h"
+#include "core/json.h"
 #include "ctl/ctl.h"
 #include "platform/platform.h"
 
@@ -422,13 +423,13 @@
   char addr[BL_ADDR_TEXT_MAX];
   char url[URL_MAX_BYTES];
   json_t *theirs = NULL;
-  json_t *ours = json_loadb (text.ptr, text.len, 0, NULL);
+  json_t *ours = bl_json_parse (text, NULL);
   bool same;
 
   snprintf (url, sizeof url, "http://%s" BL_ROUTES_PATH,
             bl_addr_format (balancer, addr));
   if (io_http_request ("GET", url, NULL, ROUTES_TIMEOUT_MS, &body) == 200)
-    theirs = json_loadb (body.text, body.len, 0, NULL);
+    theirs = bl_json_parse ((struct bl_str){ body.text, body.len }, NULL);
   same = theirs != NULL && json_equal (theirs, ours);
   json_decref (theirs);
   json_decref (ours);
--- a/test/process_datagram.sh
+++ b/test/process_datagram.sh
@@ -15,6 +15,16 @@
 kept calm
 [ "$(result calm answered)" = 800 ] || fail "calm: $(tail -1 "$RUN/calm.out")"
 
+# A heartbeat that cannot be read is refused, whatever it is; the agent goes on.
+for size in 10 1000 2000 60000 70000; do
+  status=$(head -c $size /dev/zero | tr '\0' '[' |
+    curl -s -o /dev/null -w '%{http_code}' -X PUT --data-binary @- \
+      "http://${IP_OF[w1]}:$HEARTBEATS/v1/instances/w1")
+  [ $size -gt 65535 ] && want=413 || want=400
+  [ "$status" = $want ] || fail "a heartbeat of $size bytes [: status $status, not $want"
+done
+kill -0 "${PID_OF[w1-agent]}" || fail "an unreadable heartbeat ended the agent"
+
 # Planned changes under load: a balancer and an agent restart, a backend server
 # drains, another joins.  Every request is answered.
 callers planned --users 40 --requests 60 --once 4 --seed 4
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -5,6 +5,10 @@
 
 #include "platform/platform.h"
 
+#include "core/root.h"
+#include "core/store.h"
+
+#include <pthread.h>
 #include <setjmp.h>
 #include <stdarg.h>
 #include <stddef.h>
@@ -300,6 +304,78 @@
   assert_in_range (second, 800, 1200);
 }
 
+/* -- deep nesting -- */
+
+#define SMALL_STACK_BYTES 98304 /* that of an HTTP server's thread */
+#define NESTING           2000
+
+/* Passes TEXT to each decoder of JSON that comes from outside.  */
+static void *
+decode_json (void *ctx)
+{
+  struct bl_str text = *(const struct bl_str *)ctx;
+  static struct bl_findings f;
+  static struct bl_heartbeat heartbeat;
+  static struct bl_root root;
+  struct bl_route_table *table;
+  struct bl_service **services;
+  struct bl_record record;
+  size_t count;
+
+  assert_int_equal (
+      platform_heartbeat_parse (&heartbeat, bl_str_of ("i"), text, &f),
+      BL_EFORMAT);
+  assert_int_equal (platform_route_table_parse (&table, text, &f), BL_EFORMAT);
+  assert_int_equal (bl_record_parse (&record, text.ptr), BL_EFORMAT);
+  assert_int_equal (bl_root_parse (&root, text, &f), BL_EFORMAT);
+  assert_int_equal (bl_part_parse (&services, &count, text, &f), BL_EFORMAT);
+  return NULL;
+}
+
+/* Guards against a text that ends the process: the parser recurses for each
+   level of nesting, on a thread with a small stack.  */
+static void
+test_deep_nesting (void **state)
+{
+  static const char *const levels[] = { "[", "{\"a\":", "[{\"a\":" };
+  static char text[NESTING * 8];
+  struct bl_str str = { .ptr = text };
+  pthread_attr_t attr;
+  pthread_t thread;
+
+  (void)state;
+  pthread_attr_init (&attr);
+  assert_int_equal (pthread_attr_setstacksize (&attr, SMALL_STACK_BYTES), 0);
+  for (size_t i = 0; i < sizeof levels / sizeof levels[0]; i++)
+    {
+      text[0] = '\0';
+      for (unsigned k = 0; k < NESTING; k++)
+        strcat (text, levels[i]);
+      str.len = strlen (text);
+      assert_int_equal (pthread_create (&thread, &attr, decode_json, &str), 0);
+      pthread_join (thread, NULL);
+    }
+  pthread_attr_destroy (&attr);
+}
+
+/* Brackets inside strings are no nesting.  */
+static void
+test_brackets_in_strings (void **state)
+{
+  static char body[4096];
+  struct bl_findings f = { .count = 0 };
+  struct bl_heartbeat heartbeat;
+
+  (void)state;
+  strcpy (body, "{" HEARTBEAT_FIELDS
+                ",\"state\":\"ready\",\"sequence\":4,\"x\":\"\\\"");
+  memset (body + strlen (body), '[', NESTING / 2);
+  strcat (body, "\"}");
+  assert_int_equal (platform_heartbeat_parse (&heartbeat, bl_str_of ("i"),
+                                              bl_str_of (body), &f),
+                    BL_OK);
+}
+
 /* -- fuzzing -- */
 
 static void
@@ -392,6 +468,8 @@
     cmocka_unit_test (test_many_routes),
     cmocka_unit_test (test_split),
     cmocka_unit_test (test_link_round_trip),
+    cmocka_unit_test (test_deep_nesting),
+    cmocka_unit_test (test_brackets_in_strings),
     cmocka_unit_test (test_fuzz),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
