An agent that is younger than its server does not deny its flows

Cause: an agent that starts within 1.5 s after its server takes its own empty table for complete, as after a loss of power. An earlier process of the agent may have delivered flows in between.

Ruled out: the balancers' lists; a lost reply.

Change: a table is complete if no server ran when the agent started, or if the server started after this process (clock and number of heartbeats agree). Elapsed time between the two starts decides nothing.

--- a/core/passthrough.c
+++ b/core/passthrough.c
@@ -405,7 +405,7 @@
 is_incomplete (const struct bl_passthrough *pass)
 {
   if (pass->self.state >= BL_STATE_LEFT || pass->backend_left
-      || pass->backend_start_seen || pass->started_with_backend)
+      || pass->backend_start_seen)
     return false;
   /* A message may arrive before the first tick.  */
   return pass->started_ms == 0 || pass->now - pass->started_ms < INCOMPLETE_MS;
--- a/core/passthrough_backend.c
+++ b/core/passthrough_backend.c
@@ -9,12 +9,11 @@
 
 #include "core/passthrough_inner.h"
 
-#define ANSWER_TIMEOUT_MS       150  /* without an answer until a check */
-#define CHECK_INTERVAL_MS       250  /* between two checks */
-#define START_CHECK_INTERVAL_MS 100  /* the same while it is STARTING */
-#define START_CHECKS_MAX        20   /* checks made while it is STARTING */
-#define MISSED_HEARTBEATS       3    /* missed heartbeats until a check */
-#define SAME_START_MS           1500 /* between two starts after a power loss */
+#define ANSWER_TIMEOUT_MS       150 /* without an answer until a check */
+#define CHECK_INTERVAL_MS       250 /* between two checks */
+#define START_CHECK_INTERVAL_MS 100 /* the same while it is STARTING */
+#define START_CHECKS_MAX        20  /* checks made while it is STARTING */
+#define MISSED_HEARTBEATS       3   /* missed heartbeats until a check */
 
 /* Handles the replacement of the server by another process, which holds none of
    the open flows.  */
@@ -75,24 +74,23 @@
 }
 
 /* Returns true if the backend server, by the first heartbeat received from it,
-   started at the same time as this process.  The clock may have been set
-   between the two starts, so the heartbeat's sequence number must agree: a
-   server that has sent many heartbeats is older.  */
+   started after this process, which has then delivered all packets that the
+   server ever got.  A server that is only a little older may hold flows that an
+   earlier process of this agent delivered.  The clock may have been set between
+   the two starts, so the heartbeat's sequence number must agree: a server that
+   has sent many heartbeats is older.  */
 static bool
-started_together (const struct bl_passthrough *pass,
-                  const struct bl_heartbeat *heartbeat)
+started_before_backend (const struct bl_passthrough *pass,
+                        const struct bl_heartbeat *heartbeat)
 {
-  int64_t apart_ms
-      = (int64_t)(heartbeat->backend_start - pass->settings.self.incarnation);
   uint64_t running_ms
       = pass->started_ms != 0 ? pass->now - pass->started_ms : 0;
   uint64_t sent_in_ms = heartbeat->seq > 1
                             ? (heartbeat->seq - 1) * pass->settings.heartbeat_ms
                             : 0;
 
-  return heartbeat->backend_start != 0 && apart_ms < SAME_START_MS
-         && apart_ms > -SAME_START_MS
-         && sent_in_ms <= running_ms + SAME_START_MS;
+  return heartbeat->backend_start > pass->settings.self.incarnation
+         && sent_in_ms <= running_ms + pass->settings.heartbeat_ms / 2;
 }
 
 int
@@ -126,7 +124,8 @@
     {
       pass->backend = heartbeat->id;
       pass->backend_start = heartbeat->backend_start;
-      pass->started_with_backend = started_together (pass, heartbeat);
+      pass->backend_start_seen = pass->backend_start_seen
+                                 || started_before_backend (pass, heartbeat);
     }
   pass->counters[BL_PASSTHROUGH_HEARTBEATS]++;
   pass->heartbeat_seq = heartbeat->seq;
--- a/core/passthrough_inner.h
+++ b/core/passthrough_inner.h
@@ -64,9 +64,9 @@
   uint64_t earlier_seq;
   uint64_t earlier_ms;
   bool backend_left;
-  /* Either of these rules out flows that are older than this process.  */
-  bool backend_start_seen;      /* no server ran, or another one started */
-  bool started_with_backend;    /* both started at the same time */
+  /* No server ran, or it started since this process did.  Rules out flows that
+     are older than this process.  */
+  bool backend_start_seen;
   uint64_t unanswered_since_ms; /* oldest unanswered packet; 0: none */
   bool check_requested;         /* it returned a packet that it should accept */
   uint64_t last_check_ms;
