Agents follow the idle time of the routes

Cause: an agent forgets a flow after 20 s and counts its table as complete 17 s after its start, whatever the routes say; it does not know them.

Change: status requests carry the idle time of the routes and their version, agents follow the newest and report it; a balancer tells an agent that reports another one, also while packets of flows make status requests superfluous. In the place of a field that these messages do not use, so that old and new processes understand each other.

Ruled out: a longer fixed time, which keeps entries of ended flows.

--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -45,6 +45,7 @@
   msg->config_version = d->table != NULL ? d->table->version : 0;
   msg->digest = bl_store_digest (d->fleet.store);
   msg->store_era = d->store_era;
+  msg->idle_ms = d->table != NULL ? d->table->idle_ms : 0;
   msg->affirmative = bl_dispatch_has_all_agents (d);
 }
 
@@ -140,21 +141,25 @@
     return;
   d->store_era = era;
   HASH_ITER (hh, d->fleet.instances, instance, next)
-  instance->tell_era_ms
+  instance->tell_ms
       = now + bl_random_below (&d->random, (uint32_t)usual_interval (d));
   bl_dispatch_log_decision (d, "store_era", "later_era", NULL, NULL, 0);
 }
 
-/* Returns true when INSTANCE is an agent that is to be told of a later era.  A
-   lost request is repeated after the usual interval.  */
+/* Returns true when INSTANCE is an agent that is to be told of a later era of
+   the store or of another idle time of flows.  A lost request is repeated after
+   the usual interval.  */
 static bool
-must_tell_era (struct bl_dispatch *d, struct bl_instance *instance)
+must_tell (struct bl_dispatch *d, struct bl_instance *instance)
 {
+  bool idle_differs = d->table != NULL && d->table->idle_ms != 0
+                      && instance->idle_ms != d->table->idle_ms;
+
   if (instance->record.kind != BL_KIND_BACKEND
-      || instance->store_era >= d->store_era || instance->unreachable
-      || d->now < instance->tell_era_ms)
+      || (instance->store_era >= d->store_era && !idle_differs)
+      || instance->unreachable || d->now < instance->tell_ms)
     return false;
-  instance->tell_era_ms = d->now + usual_interval (d);
+  instance->tell_ms = d->now + usual_interval (d);
   return true;
 }
 
@@ -193,7 +198,7 @@
     if (instance->record.state >= BL_STATE_LEFT)
       continue;
     isolation_probe = is_isolation_probe (d, instance, &isolation_probes_left);
-    if (has_update || must_tell_era (d, instance)
+    if (has_update || must_tell (d, instance)
         || d->now - last >= status_interval (d, instance, isolation_probe))
       bl_members_request_status (d, instance);
     if (instance->record.kind == BL_KIND_BALANCER && !instance->suspect)
@@ -229,6 +234,7 @@
   instance->flows = msg->flows;
   instance->placed_since_report = 0;
   instance->store_era = msg->store_era;
+  instance->idle_ms = msg->idle_ms;
   if (msg->digest == 0)
     return;
   if (instance->backend_start != 0 && instance->backend_start != msg->digest)
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -42,9 +42,11 @@
   bool suspect;     /* a request is unanswered for over BL_SUSPECT_MS */
   bool unreachable; /* a request is unanswered for over BL_UNREACHABLE_MS */
   uint64_t config_version; /* a balancer's version of the routes */
-  uint64_t store_era;   /* of the platform's store, as an agent last reported */
-  uint64_t tell_era_ms; /* when an agent is told of a later era, at the
-                           earliest */
+  /* What an agent last reported: the era of the platform's store, and the time
+     without packets after which flows may be discarded.  */
+  uint64_t store_era;
+  uint32_t idle_ms;
+  uint64_t tell_ms; /* when it is told of a change of these, at the earliest */
   uint64_t compare_round_ms;    /* start of the comparison round in which a
                                    status request is unanswered; 0: none */
   uint32_t busy;                /* requests in progress, as last reported */
--- a/core/msg.h
+++ b/core/msg.h
@@ -52,7 +52,9 @@
   /* Status query of a balancer to any instance.  SEQ and INCARNATION are those
      of the receiver's record that the sender holds.  STORE_ERA is the newest
      era of the platform's store that the sender has heard of, in the reply too.
-   */
+     CONFIG_VERSION is that of the sender's routes, and IDLE_MS the time without
+     packets after which these allow flows to be discarded; an agent replies
+     with the IDLE_MS that it follows.  */
   BL_MSG_STATUS_QUERY,
   /* Reply, also sent unrequested at a change.  From an agent: LOAD is the
      number of running requests, FLOWS the number of open flows, and DIGEST the
@@ -83,7 +85,11 @@
   uint64_t digest; /* of the sender's store, or of a view */
   bool affirmative;
   struct bl_flow_key flow;
-  uint32_t ack;           /* acknowledgement number of a packet of FLOW */
+  union
+  {
+    uint32_t ack;     /* acknowledgement number of a packet of FLOW */
+    uint32_t idle_ms; /* of STATUS_QUERY and STATUS */
+  };
   uint32_t load;          /* LOAD: thousandths of a slot; STATUS: requests */
   uint32_t flows;         /* open flows of the sender */
   uint32_t warm_up_share; /* share of new flows that the sender takes during its
--- a/core/passthrough.c
+++ b/core/passthrough.c
@@ -23,18 +23,20 @@
 /* The agent announces itself as STARTING if neither a heartbeat nor the outcome
    of a check has arrived for this long.  */
 #define START_ANNOUNCE_MS 250
-/* The flow table counts as incomplete for this long after the start: by then
-   every live flow has sent a packet.  */
-#define INCOMPLETE_MS      17000
-#define FLOW_IDLE_MS       20000 /* entries without packets expire after this */
-#define FLOW_CLOSED_MS     3000  /* the same after a FIN or RST */
-#define REQUEST_MAX_MS     8000  /* an unanswered request is over after this */
-#define SWEEP_INTERVAL_MS  200
-#define FIRST_REQUEST_MS   150   /* longest wait for a flow's first request */
-#define FLOWS_MAX          65536 /* entries, about 10 MB of memory */
-#define MONITOR_TTL_MS     10000 /* a monitor is kept after its last request */
-#define MONITOR_SILENCE_MS 1500  /* without any request: contact the seeds */
-#define ACK_WINDOW         (1u << 20) /* sequence numbers */
+#define IDLE_DEFAULT_MS   15000 /* until a balancer tells the idle time */
+/* The flow table counts as incomplete for the idle time and this long after the
+   start: by then every live flow has sent a packet.  */
+#define INCOMPLETE_MARGIN_MS 2000
+/* Entries without packets expire after the idle time and this long.  */
+#define FLOW_IDLE_MARGIN_MS 5000
+#define FLOW_CLOSED_MS      3000 /* the same after a FIN or RST */
+#define REQUEST_MAX_MS      8000 /* an unanswered request is over after this */
+#define SWEEP_INTERVAL_MS   200
+#define FIRST_REQUEST_MS    150   /* longest wait for a flow's first request */
+#define FLOWS_MAX           65536 /* entries, about 10 MB of memory */
+#define MONITOR_TTL_MS      10000 /* a monitor is kept after its last request */
+#define MONITOR_SILENCE_MS  1500  /* without any request: contact the seeds */
+#define ACK_WINDOW          (1u << 20) /* sequence numbers */
 
 static const char *const counter_names[] = {
   [BL_PASSTHROUGH_DELIVERED] = "packets_delivered",
@@ -63,6 +65,7 @@
   pass->ctx = ctx;
   pass->self = settings->self;
   pass->self.state = BL_STATE_STARTING;
+  pass->idle_ms = IDLE_DEFAULT_MS;
   return pass;
 }
 
@@ -200,6 +203,7 @@
     .flows = HASH_COUNT (pass->flows),
     .digest = pass->backend_start,
     .store_era = pass->store_era,
+    .idle_ms = pass->idle_ms,
     .record_count = with_record ? 1 : 0,
     .records = &pass->self,
   };
@@ -408,7 +412,8 @@
       || pass->backend_start_seen)
     return false;
   /* A message may arrive before the first tick.  */
-  return pass->started_ms == 0 || pass->now - pass->started_ms < INCOMPLETE_MS;
+  return pass->started_ms == 0
+         || pass->now - pass->started_ms < pass->idle_ms + INCOMPLETE_MARGIN_MS;
 }
 
 /* Handles payload of a caller.  A request takes a slot of the backend server
@@ -671,7 +676,8 @@
   HASH_ITER (hh, pass->flows, f, next)
   {
     uint64_t idle = pass->now - f->touched_ms;
-    if (idle > (f->closed ? FLOW_CLOSED_MS : FLOW_IDLE_MS))
+    if (idle
+        > (f->closed ? FLOW_CLOSED_MS : pass->idle_ms + FLOW_IDLE_MARGIN_MS))
       remove_flow (pass, f);
     else if (f->request_start_ms != 0
              && pass->now - f->request_start_ms > REQUEST_MAX_MS)
@@ -734,6 +740,17 @@
   bl_passthrough_announce (pass, "record_of_later_start");
 }
 
+/* Follows the idle time in the newest routes.  Balancers of an earlier version
+   of this program, and those without routes, send none.  */
+static void
+note_idle_time (struct bl_passthrough *pass, const struct bl_msg *request)
+{
+  if (request->idle_ms == 0 || request->config_version < pass->routes_version)
+    return;
+  pass->routes_version = request->config_version;
+  pass->idle_ms = request->idle_ms;
+}
+
 int
 bl_passthrough_message (struct bl_passthrough *pass,
                         uint64_t now,
@@ -758,6 +775,7 @@
   note_monitor (pass, from);
   if (msg.store_era > pass->store_era)
     pass->store_era = msg.store_era;
+  note_idle_time (pass, &msg);
   supersede (pass, &msg);
   send_status (pass, from,
                msg.seq != pass->self.seq
--- a/core/passthrough_inner.h
+++ b/core/passthrough_inner.h
@@ -76,7 +76,11 @@
   struct bl_monitor monitors[MONITORS_MAX];
   size_t balancer_count;
   struct bl_addr balancers[BALANCERS_MAX]; /* sources of packets, by token */
-  uint64_t store_era; /* newest that a balancer has told of; 0: none */
+  /* Time without packets after which flows may be discarded, from the balancer
+     with the newest routes.  */
+  uint32_t idle_ms;
+  uint64_t routes_version; /* of those routes */
+  uint64_t store_era;      /* newest that a balancer has told of; 0: none */
   uint64_t next_seed_ms;
   uint64_t next_sweep_ms;
   struct bl_buffer buffer;
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -900,6 +900,49 @@
     }
 }
 
+static void
+test_agents_told_of_idle_time (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    uint32_t idle_ms; /* of the routes; 0: none */
+    uint32_t reported_ms;
+    unsigned least; /* requests that state it, within ERA_RUN_MS */
+    unsigned most;
+  } table[] = {
+    { "the agent follows another one", 30000, 15000, 2, 13 },
+    { "the agent follows it", 30000, 30000, 0, 0 },
+    { "the routes have none", 0, 15000, 0, 0 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof table / sizeof table[0]; i++)
+    {
+      struct observed observed = { .resets = 0 };
+      struct bl_dispatch *d = new_balancer (&observed);
+      struct bl_route_table *routes = new_routes (2, "s", NULL);
+      routes->idle_ms = table[i].idle_ms;
+      bl_dispatch_configure (d, 5, routes);
+      add_agent (d, 10, 11, "s");
+      for (uint64_t now = ERA_STEP_MS; now < ERA_RUN_MS; now += ERA_STEP_MS)
+        {
+          struct bl_buffer buffer = { .len = 0 };
+          struct bl_msg msg
+              = { .type = BL_MSG_STATUS, .idle_ms = table[i].reported_ms };
+          bl_name_set (&msg.from, bl_str_of ("a11"));
+          assert_int_equal (bl_msg_encode (&msg, &buffer), BL_OK);
+          bl_dispatch_message (d, now, (struct bl_addr){ 11, 2 }, buffer.ptr,
+                               buffer.len);
+          bl_buffer_free (&buffer);
+          bl_dispatch_tick (d, now);
+        }
+      printf ("%s: %u\n", table[i].name, observed.sent);
+      assert_in_range (observed.sent, table[i].least, table[i].most);
+      bl_dispatch_free (d);
+    }
+}
+
 /* Guards against pulls that make a balancer send too much: a pull must be
    answered only with the records of buckets that differ, in few datagrams and
    within the budget for answers.  */
@@ -1514,6 +1557,7 @@
     cmocka_unit_test (test_comparison_with_peer),
     cmocka_unit_test (test_record_pulls),
     cmocka_unit_test (test_agents_told_of_era),
+    cmocka_unit_test (test_agents_told_of_idle_time),
     cmocka_unit_test (test_owner_by_elimination),
     cmocka_unit_test (test_routes_confirmed),
     cmocka_unit_test (test_likely_owners_first),
