--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -167,6 +167,21 @@
       "{\"service\":\"s\",\"address\":\"10.0.0.1\",\"state\":\"ready\","
       "\"concurrencyLimit\":2,\"sequence\":1}",
       BL_EFORMAT, "body" },
+    { "zone missing", "i-1",
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"version\":\"v1\","
+      "\"concurrencyLimit\":2,\"warmupRemainingMs\":0,\"state\":\"ready\","
+      "\"sequence\":4,\"born\":9}",
+      BL_EFORMAT, "body" },
+    { "version is a number", "i-1",
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"version\":1,\"concurrencyLimit\":2,\"warmupRemainingMs\":0,"
+      "\"state\":\"ready\",\"sequence\":4,\"born\":9}",
+      BL_EFORMAT, "body" },
+    { "remaining warm-up missing", "i-1",
+      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+      "\"version\":\"v1\",\"concurrencyLimit\":2,\"state\":\"ready\","
+      "\"sequence\":4,\"born\":9}",
+      BL_EFORMAT, "body" },
     { "not an object", "i-1", "[1]", BL_EFORMAT, "body" },
     { "cut short", "i-1", "{\"service\":", BL_EFORMAT, "line 1, column 11" },
     { "not text", "i-1", "\xff\xfe", BL_EFORMAT, "line 1, column 0" },
