--- a/daemon/relay.c
+++ b/daemon/relay.c
@@ -239,9 +239,8 @@
       /* A retry does not wait, so that its answer shows a restore at once.  */
       result = io_kv_watch (r->kv, BL_ROOT_KEY, r->position,
                             attempt > 0 ? 0 : WATCH_TIMEOUT_S, &object);
-      if (result == IO_KV_OK && apply_root_object (r, &object) == BL_OK)
-        attempt = 0;
-      else if (result == IO_KV_UNCHANGED)
+      if (result == IO_KV_UNCHANGED
+          || (result == IO_KV_OK && apply_root_object (r, &object) == BL_OK))
         attempt = 0;
       else if (result == IO_KV_RESTORED)
         r->position.version = 0; /* reads the root whatever its version */
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -738,88 +738,106 @@
   bl_passthrough_free (p);
 }
 
+static const struct
+{
+  const char *name;
+  uint32_t told_ms[2]; /* idle times, by balancers with VERSIONS */
+  uint64_t versions[2];
+  uint64_t start_offset; /* of the server's start against the agent's */
+  bool has_packet;       /* the server has sent one at 20 ms */
+  uint64_t now;
+  enum bl_link_type want;
+} idle_times[] = {
+  { "not told, within the default",
+    { 0, 0 },
+    { 0, 0 },
+    10,
+    true,
+    14000,
+    BL_LINK_OWNED },
+  { "not told, after the default",
+    { 0, 0 },
+    { 0, 0 },
+    10,
+    true,
+    21000,
+    BL_LINK_NOT_OWNED },
+  { "told a longer one",
+    { 30000, 0 },
+    { 2, 0 },
+    10,
+    true,
+    29000,
+    BL_LINK_OWNED },
+  { "after the longer one",
+    { 30000, 0 },
+    { 2, 0 },
+    10,
+    true,
+    36000,
+    BL_LINK_NOT_OWNED },
+  { "newer routes have a longer one",
+    { 15000, 30000 },
+    { 2, 3 },
+    10,
+    true,
+    29000,
+    BL_LINK_OWNED },
+  { "older routes have a shorter one",
+    { 30000, 15000 },
+    { 3, 2 },
+    10,
+    true,
+    29000,
+    BL_LINK_OWNED },
+  { "a balancer without routes",
+    { 30000, 0 },
+    { 3, 4 },
+    10,
+    true,
+    29000,
+    BL_LINK_OWNED },
+  { "an older server, not seen for the longer one",
+    { 30000, 0 },
+    { 2, 0 },
+    0,
+    false,
+    31000,
+    BL_LINK_INCOMPLETE },
+  { "an older server, seen for long enough",
+    { 30000, 0 },
+    { 2, 0 },
+    0,
+    false,
+    33000,
+    BL_LINK_NOT_OWNED },
+};
+
+static void
+tell_idle_time (struct bl_passthrough *p, uint64_t version, uint32_t idle_ms)
+{
+  struct bl_buffer buffer = { .len = 0 };
+  struct bl_msg msg = {
+    .type = BL_MSG_STATUS_QUERY,
+    .config_version = version,
+    .idle_ms = idle_ms,
+  };
+
+  bl_name_set (&msg.from, bl_str_of ("b"));
+  assert_int_equal (bl_msg_encode (&msg, &buffer), BL_OK);
+  bl_passthrough_message (p, 10, (struct bl_addr){ 20, 2 }, buffer.ptr,
+                          buffer.len);
+  bl_buffer_free (&buffer);
+}
+
 /* Guards against a flow that is forgotten, and then denied, before the routes
    allow it to be discarded.  */
 static void
 test_idle_time (void **state)
 {
-  static const struct
-  {
-    const char *name;
-    uint32_t told_ms[2]; /* idle times, by balancers with VERSIONS */
-    uint64_t versions[2];
-    uint64_t start_offset; /* of the server's start against the agent's */
-    bool has_packet;       /* the server has sent one at 20 ms */
-    uint64_t now;
-    enum bl_link_type want;
-  } cases[] = {
-    { "not told, within the default",
-      { 0, 0 },
-      { 0, 0 },
-      10,
-      true,
-      14000,
-      BL_LINK_OWNED },
-    { "not told, after the default",
-      { 0, 0 },
-      { 0, 0 },
-      10,
-      true,
-      21000,
-      BL_LINK_NOT_OWNED },
-    { "told a longer one",
-      { 30000, 0 },
-      { 2, 0 },
-      10,
-      true,
-      29000,
-      BL_LINK_OWNED },
-    { "after the longer one",
-      { 30000, 0 },
-      { 2, 0 },
-      10,
-      true,
-      36000,
-      BL_LINK_NOT_OWNED },
-    { "newer routes have a longer one",
-      { 15000, 30000 },
-      { 2, 3 },
-      10,
-      true,
-      29000,
-      BL_LINK_OWNED },
-    { "older routes have a shorter one",
-      { 30000, 15000 },
-      { 3, 2 },
-      10,
-      true,
-      29000,
-      BL_LINK_OWNED },
-    { "a balancer without routes",
-      { 30000, 0 },
-      { 3, 4 },
-      10,
-      true,
-      29000,
-      BL_LINK_OWNED },
-    { "an older server, not seen for the longer one",
-      { 30000, 0 },
-      { 2, 0 },
-      0,
-      false,
-      31000,
-      BL_LINK_INCOMPLETE },
-    { "an older server, seen for long enough",
-      { 30000, 0 },
-      { 2, 0 },
-      0,
-      false,
-      33000,
-      BL_LINK_NOT_OWNED },
-  };
 
   (void)state;
-  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+  for (size_t i = 0; i < sizeof idle_times / sizeof idle_times[0]; i++)
     {
       struct observed observed = { .delivered = 0 };
       struct bl_passthrough *p = new_agent (&observed);
@@ -827,26 +845,16 @@
         .key = key, .flags = BL_TCP_ACK, .seq = QUERIED_ACK, .payload_len = 1
       };
       struct input ready
-          = { HB_READY, INCARNATION - 5 + cases[i].start_offset, 1 };
+          = { HB_READY, INCARNATION - 5 + idle_times[i].start_offset, 1 };
       pass_input (p, 5, &ready);
       for (int k = 0; k < 2; k++)
-        {
-          struct bl_buffer buffer = { .len = 0 };
-          struct bl_msg msg = { .type = BL_MSG_STATUS_QUERY,
-                                .config_version = cases[i].versions[k],
-                                .idle_ms = cases[i].told_ms[k] };
-          bl_name_set (&msg.from, bl_str_of ("b"));
-          assert_int_equal (bl_msg_encode (&msg, &buffer), BL_OK);
-          bl_passthrough_message (p, 10, (struct bl_addr){ 20, 2 }, buffer.ptr,
-                                  buffer.len);
-          bl_buffer_free (&buffer);
-        }
-      if (cases[i].has_packet)
+        tell_idle_time (p, idle_times[i].versions[k], idle_times[i].told_ms[k]);
+      if (idle_times[i].has_packet)
         bl_passthrough_outgoing (p, 20, &out, (const uint8_t *)&out,
                                  sizeof out);
-      bl_passthrough_tick (p, cases[i].now);
-      if (query_owner (p, &observed, cases[i].now) != cases[i].want)
-        fail_msg ("%s: %d", cases[i].name, (int)observed.last.type);
+      bl_passthrough_tick (p, idle_times[i].now);
+      if (query_owner (p, &observed, idle_times[i].now) != idle_times[i].want)
+        fail_msg ("%s: %d", idle_times[i].name, (int)observed.last.type);
       bl_passthrough_free (p);
     }
 }
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -128,80 +128,81 @@
   "\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","              \
   "\"version\":\"v1\",\"concurrencyLimit\":2,\"warmupRemainingMs\":0"
 
+static const struct
+{
+  const char *name;
+  const char *id;
+  const char *body;
+  int want;
+  const char *place; /* of the first finding */
+} heartbeats[] = {
+  { "ready", "i-1", "{" HEARTBEAT_FIELDS ",\"state\":\"ready\",\"sequence\":4}",
+    BL_OK, NULL },
+  { "draining", "i-1",
+    "{" HEARTBEAT_FIELDS ",\"state\":\"draining\",\"sequence\":4,\"born\":9}",
+    BL_OK, NULL },
+  { "unknown field", "i-1",
+    "{" HEARTBEAT_FIELDS ",\"state\":\"ready\",\"sequence\":4,\"colour\":[]}",
+    BL_OK, NULL },
+  { "unknown state", "i-1",
+    "{" HEARTBEAT_FIELDS ",\"state\":\"tired\",\"sequence\":4}", BL_EFORMAT,
+    "body" },
+  { "state missing", "i-1", "{" HEARTBEAT_FIELDS ",\"sequence\":4}", BL_EFORMAT,
+    "body" },
+  { "sequence is text", "i-1",
+    "{" HEARTBEAT_FIELDS ",\"state\":\"ready\",\"sequence\":\"4\"}", BL_EFORMAT,
+    "body" },
+  { "start time is a fraction", "i-1",
+    "{" HEARTBEAT_FIELDS ",\"state\":\"ready\",\"sequence\":4,\"born\":1.5}",
+    BL_EFORMAT, "body" },
+  { "service is a number", "i-1",
+    "{\"service\":4,\"address\":\"10.0.0.1:80\",\"state\":\"ready\","
+    "\"concurrencyLimit\":2,\"sequence\":1}",
+    BL_EFORMAT, "body" },
+  { "address without port", "i-1",
+    "{\"service\":\"s\",\"address\":\"10.0.0.1\",\"state\":\"ready\","
+    "\"concurrencyLimit\":2,\"sequence\":1}",
+    BL_EFORMAT, "body" },
+  { "zone missing", "i-1",
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"version\":\"v1\","
+    "\"concurrencyLimit\":2,\"warmupRemainingMs\":0,\"state\":\"ready\","
+    "\"sequence\":4,\"born\":9}",
+    BL_EFORMAT, "body" },
+  { "version is a number", "i-1",
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+    "\"version\":1,\"concurrencyLimit\":2,\"warmupRemainingMs\":0,"
+    "\"state\":\"ready\",\"sequence\":4,\"born\":9}",
+    BL_EFORMAT, "body" },
+  { "remaining warm-up missing", "i-1",
+    "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
+    "\"version\":\"v1\",\"concurrencyLimit\":2,\"state\":\"ready\","
+    "\"sequence\":4,\"born\":9}",
+    BL_EFORMAT, "body" },
+  { "not an object", "i-1", "[1]", BL_EFORMAT, "body" },
+  { "cut short", "i-1", "{\"service\":", BL_EFORMAT, "line 1, column 11" },
+  { "not text", "i-1", "\xff\xfe", BL_EFORMAT, "line 1, column 0" },
+  { "id is not a valid name", "a/b",
+    "{" HEARTBEAT_FIELDS ",\"state\":\"ready\",\"sequence\":4}", BL_EFORMAT,
+    "path" },
+};
+
 static void
 test_heartbeats (void **state)
 {
-  static const struct
-  {
-    const char *name;
-    const char *id;
-    const char *body;
-    int want;
-    const char *place; /* of the first finding */
-  } cases[] = {
-    { "ready", "i-1",
-      "{" HEARTBEAT_FIELDS ",\"state\":\"ready\",\"sequence\":4}", BL_OK,
-      NULL },
-    { "draining", "i-1",
-      "{" HEARTBEAT_FIELDS ",\"state\":\"draining\",\"sequence\":4,\"born\":9}",
-      BL_OK, NULL },
-    { "unknown field", "i-1",
-      "{" HEARTBEAT_FIELDS ",\"state\":\"ready\",\"sequence\":4,\"colour\":[]}",
-      BL_OK, NULL },
-    { "unknown state", "i-1",
-      "{" HEARTBEAT_FIELDS ",\"state\":\"tired\",\"sequence\":4}", BL_EFORMAT,
-      "body" },
-    { "state missing", "i-1", "{" HEARTBEAT_FIELDS ",\"sequence\":4}",
-      BL_EFORMAT, "body" },
-    { "sequence is text", "i-1",
-      "{" HEARTBEAT_FIELDS ",\"state\":\"ready\",\"sequence\":\"4\"}",
-      BL_EFORMAT, "body" },
-    { "start time is a fraction", "i-1",
-      "{" HEARTBEAT_FIELDS ",\"state\":\"ready\",\"sequence\":4,\"born\":1.5}",
-      BL_EFORMAT, "body" },
-    { "service is a number", "i-1",
-      "{\"service\":4,\"address\":\"10.0.0.1:80\",\"state\":\"ready\","
-      "\"concurrencyLimit\":2,\"sequence\":1}",
-      BL_EFORMAT, "body" },
-    { "address without port", "i-1",
-      "{\"service\":\"s\",\"address\":\"10.0.0.1\",\"state\":\"ready\","
-      "\"concurrencyLimit\":2,\"sequence\":1}",
-      BL_EFORMAT, "body" },
-    { "zone missing", "i-1",
-      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"version\":\"v1\","
-      "\"concurrencyLimit\":2,\"warmupRemainingMs\":0,\"state\":\"ready\","
-      "\"sequence\":4,\"born\":9}",
-      BL_EFORMAT, "body" },
-    { "version is a number", "i-1",
-      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
-      "\"version\":1,\"concurrencyLimit\":2,\"warmupRemainingMs\":0,"
-      "\"state\":\"ready\",\"sequence\":4,\"born\":9}",
-      BL_EFORMAT, "body" },
-    { "remaining warm-up missing", "i-1",
-      "{\"service\":\"s\",\"address\":\"10.0.0.1:80\",\"zone\":\"z\","
-      "\"version\":\"v1\",\"concurrencyLimit\":2,\"state\":\"ready\","
-      "\"sequence\":4,\"born\":9}",
-      BL_EFORMAT, "body" },
-    { "not an object", "i-1", "[1]", BL_EFORMAT, "body" },
-    { "cut short", "i-1", "{\"service\":", BL_EFORMAT, "line 1, column 11" },
-    { "not text", "i-1", "\xff\xfe", BL_EFORMAT, "line 1, column 0" },
-    { "id is not a valid name", "a/b",
-      "{" HEARTBEAT_FIELDS ",\"state\":\"ready\",\"sequence\":4}", BL_EFORMAT,
-      "path" },
-  };
 
   (void)state;
-  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+  for (size_t i = 0; i < sizeof heartbeats / sizeof heartbeats[0]; i++)
     {
       struct bl_findings f = { .count = 0 };
       struct bl_heartbeat heartbeat;
-      int got = platform_heartbeat_parse (&heartbeat, bl_str_of (cases[i].id),
-                                          bl_str_of (cases[i].body), &f);
-      if (got != cases[i].want)
-        fail_msg ("%s: got %d", cases[i].name, got);
-      if (cases[i].place != NULL
-          && strcmp (f.items[0].place, cases[i].place) != 0)
-        fail_msg ("%s: place %s", cases[i].name, f.items[0].place);
+      int got
+          = platform_heartbeat_parse (&heartbeat, bl_str_of (heartbeats[i].id),
+                                      bl_str_of (heartbeats[i].body), &f);
+      if (got != heartbeats[i].want)
+        fail_msg ("%s: got %d", heartbeats[i].name, got);
+      if (heartbeats[i].place != NULL
+          && strcmp (f.items[0].place, heartbeats[i].place) != 0)
+        fail_msg ("%s: place %s", heartbeats[i].name, f.items[0].place);
     }
 }
 
