boragelatchctl: a list of instances is made again after a restore

A store that is restored while the tool reads its pages ended the command with "restored". The head of dispatch_members.c names the idle time too.

--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -5,10 +5,10 @@
    STATUS_BYTES_PER_S whatever the size of the fleet.  An instance that has left
    a request unanswered is sent another after a short interval.  A balancer
    whose routes or own record have changed announces that to all other balancers
-   at once.  Agents are told of a new era of the platform's store, each at a
-   random time within the usual interval between two requests to it.
-   dispatch_compare.c handles differences between the records of two balancers.
- */
+   at once.  Agents are told of a new era of the platform's store and of another
+   idle time of flows, each at a random time within the usual interval between
+   two requests to it.  dispatch_compare.c handles differences between the
+   records of two balancers.  */
 
 #include "core/dispatch_inner.h"
 
--- a/ctl/store.c
+++ b/ctl/store.c
@@ -27,6 +27,7 @@
 #define BALANCERS_ASKED_MAX 32
 #define ROUTES_TIMEOUT_MS   2000
 #define URL_MAX_BYTES       128
+#define LISTS_MAX           3 /* of a store that is restored during each */
 #define INSTANCES_MAX                                                          \
   16384 /* records read; further records are reported and left out */
 
@@ -93,7 +94,7 @@
 {
   struct platform_store_visitor visitor = { .visit = add_record, .ctx = out };
   struct platform_store *store = open_store (ctl);
-  enum platform_store_result result;
+  enum platform_store_result result = PLATFORM_STORE_RESTORED;
   struct platform_store_position position;
 
   *out = (struct stored_instances){ .records = calloc (INSTANCES_MAX,
@@ -103,8 +104,13 @@
       platform_store_free (store);
       return CTL_USAGE;
     }
-  result = platform_store_list (store, PLATFORM_INSTANCES_KIND, &visitor,
-                                &position);
+  for (int i = 0; i < LISTS_MAX && result == PLATFORM_STORE_RESTORED; i++)
+    {
+      out->count = 0;
+      out->left_out_count = 0;
+      result = platform_store_list (store, PLATFORM_INSTANCES_KIND, &visitor,
+                                    &position);
+    }
   platform_store_free (store);
   return result == PLATFORM_STORE_OK ? CTL_OK : report_result (ctl, result);
 }
