Agents read the record of their earlier process

Change: the agent's record in the store names the start of the server that it serves, an optional member that earlier versions ignore. The registry reads the record before its first write, in place of a create that is refused (as many calls). A server up to 1.5 s older than the agent holds no older flows if that record names another server; until the store has answered the table counts as incomplete.

--- a/boragelatch.h
+++ b/boragelatch.h
@@ -230,6 +230,9 @@
   uint64_t incarnation;  /* start time, in milliseconds since 1970 */
   uint32_t seq;
   uint32_t slots; /* backend servers only: maximum of concurrent requests */
+  uint64_t backend_start; /* transport datagram, in the store only: start of the
+                             backend server, in milliseconds since 1970; 0: not
+                             known */
   bool unhealthy; /* backend servers only: the health check fails, so the
                      server should receive no new flows */
   bool remotely_monitored; /* backend servers only: balancers of another data
--- a/core/own_record.c
+++ b/core/own_record.c
@@ -92,7 +92,7 @@
     *due_ms = o->not_before_ms;
   if (now < *due_ms)
     return BL_OWN_RECORD_WAIT;
-  if (!o->dirty || outdated)
+  if (!o->dirty || outdated || !o->checked)
     return BL_OWN_RECORD_CHECK;
   o->dirty = false;
   return BL_OWN_RECORD_WRITE;
@@ -206,6 +206,10 @@
       back_off (o, now);
       return finding;
     }
+  /* The first write may replace the record of a later start, if the clock was
+     set back since.  */
+  o->dirty = o->dirty || !o->checked;
+  o->checked = true;
   o->newest_era = era;
   o->attempt = 0;
   o->not_before_ms = 0;
--- a/core/own_record.h
+++ b/core/own_record.h
@@ -17,6 +17,7 @@
 struct bl_own_record
 {
   struct bl_random random;
+  bool checked;           /* a check was answered since the start */
   bool dirty;             /* the record changed, or the store lacks it */
   uint64_t era;           /* of the store's last answer about it; 0: none */
   uint64_t revision;      /* of the object then; 0: there was none */
@@ -39,7 +40,8 @@
 
 const char *bl_own_record_finding_name (enum bl_own_record_finding finding);
 
-/* The record changed and has to be written.  */
+/* The record changed and has to be written.  Before the first write the store
+   is checked for the record of an earlier process.  */
 void bl_own_record_changed (struct bl_own_record *o);
 /* The store is in ERA, by an answer to anybody.  Returns true if ERA is new and
    the record has to be checked.  */
--- a/core/passthrough.c
+++ b/core/passthrough.c
@@ -216,6 +216,7 @@
 bl_passthrough_announce (struct bl_passthrough *pass, const char *reason)
 {
   pass->self.seq++;
+  pass->self.backend_start = pass->backend_start;
   pass->ops.log_decision (
       pass->ctx, bl_state_name (pass->self.state), reason, NULL,
       pass->last_heartbeat_ms > 0 ? pass->now - pass->last_heartbeat_ms : 0);
@@ -411,6 +412,9 @@
   if (pass->self.state >= BL_STATE_LEFT || pass->backend_left
       || pass->backend_start_seen)
     return false;
+  if (pass->started_with_backend && pass->previous_known
+      && pass->previous_backend_start != pass->backend_start)
+    return false;
   /* A message may arrive before the first tick.  */
   return pass->started_ms == 0
          || pass->now - pass->started_ms < pass->idle_ms + INCOMPLETE_MARGIN_MS;
@@ -794,6 +798,13 @@
   bl_passthrough_set_state (pass, BL_STATE_STARTING, "stopping");
 }
 
+void
+bl_passthrough_note_previous (struct bl_passthrough *pass, uint64_t start)
+{
+  pass->previous_known = true;
+  pass->previous_backend_start = start;
+}
+
 uint64_t
 bl_passthrough_store_era (const struct bl_passthrough *pass)
 {
--- a/core/passthrough.h
+++ b/core/passthrough.h
@@ -143,6 +143,10 @@
    balancers, unless the backend server has left or is dead, so that they wait
    for the agent's next start.  */
 void bl_passthrough_stop (struct bl_passthrough *pass, uint64_t now);
+/* Notes which backend server an earlier process of this agent served last,
+   according to its record in the platform's store: START is that server's
+   start; 0: there is no record, or it names none.  */
+void bl_passthrough_note_previous (struct bl_passthrough *pass, uint64_t start);
 /* Returns the newest era of the platform's store that a balancer has told of; 0
    if none has.  */
 uint64_t bl_passthrough_store_era (const struct bl_passthrough *pass);
--- a/core/passthrough_backend.c
+++ b/core/passthrough_backend.c
@@ -9,11 +9,12 @@
 
 #include "core/passthrough_inner.h"
 
-#define ANSWER_TIMEOUT_MS       150 /* without an answer until a check */
-#define CHECK_INTERVAL_MS       250 /* between two checks */
-#define START_CHECK_INTERVAL_MS 100 /* the same while it is STARTING */
-#define START_CHECKS_MAX        20  /* checks made while it is STARTING */
-#define MISSED_HEARTBEATS       3   /* missed heartbeats until a check */
+#define ANSWER_TIMEOUT_MS       150  /* without an answer until a check */
+#define CHECK_INTERVAL_MS       250  /* between two checks */
+#define START_CHECK_INTERVAL_MS 100  /* the same while it is STARTING */
+#define START_CHECKS_MAX        20   /* checks made while it is STARTING */
+#define MISSED_HEARTBEATS       3    /* missed heartbeats until a check */
+#define SAME_START_MS           1500 /* between two starts after a power loss */
 
 /* Handles the replacement of the server by another process, which holds none of
    the open flows.  */
@@ -74,14 +75,13 @@
 }
 
 /* Returns true if the backend server, by the first heartbeat received from it,
-   started after this process, which has then delivered all packets that the
-   server ever got.  A server that is only a little older may hold flows that an
-   earlier process of this agent delivered.  The clock may have been set between
-   the two starts, so the heartbeat's sequence number must agree: a server that
-   has sent many heartbeats is older.  */
+   started not more than SLACK_MS before this process.  The clock may have been
+   set between the two starts, so the heartbeat's sequence number must agree: a
+   server that has sent many heartbeats is older.  */
 static bool
-started_before_backend (const struct bl_passthrough *pass,
-                        const struct bl_heartbeat *heartbeat)
+is_younger (const struct bl_passthrough *pass,
+            const struct bl_heartbeat *heartbeat,
+            uint64_t slack_ms)
 {
   uint64_t running_ms
       = pass->started_ms != 0 ? pass->now - pass->started_ms : 0;
@@ -89,8 +89,24 @@
                             ? (heartbeat->seq - 1) * pass->settings.heartbeat_ms
                             : 0;
 
-  return heartbeat->backend_start > pass->settings.self.incarnation
-         && sent_in_ms <= running_ms + pass->settings.heartbeat_ms / 2;
+  return heartbeat->backend_start + slack_ms > pass->settings.self.incarnation
+         && sent_in_ms
+                <= running_ms + slack_ms + pass->settings.heartbeat_ms / 2;
+}
+
+/* Notes what the first heartbeat tells about flows that are older than this
+   process.  A server that started after it has got all its packets from it. One
+   that is a little older may hold flows that an earlier process of this agent
+   delivered.  */
+static void
+note_start_of_backend (struct bl_passthrough *pass,
+                       const struct bl_heartbeat *heartbeat)
+{
+  if (heartbeat->backend_start == 0)
+    return;
+  if (is_younger (pass, heartbeat, 0))
+    pass->backend_start_seen = true;
+  pass->started_with_backend = is_younger (pass, heartbeat, SAME_START_MS);
 }
 
 int
@@ -124,8 +140,7 @@
     {
       pass->backend = heartbeat->id;
       pass->backend_start = heartbeat->backend_start;
-      pass->backend_start_seen = pass->backend_start_seen
-                                 || started_before_backend (pass, heartbeat);
+      note_start_of_backend (pass, heartbeat);
     }
   pass->counters[BL_PASSTHROUGH_HEARTBEATS]++;
   pass->heartbeat_seq = heartbeat->seq;
--- a/core/passthrough_inner.h
+++ b/core/passthrough_inner.h
@@ -67,6 +67,12 @@
   /* No server ran, or it started since this process did.  Rules out flows that
      are older than this process.  */
   bool backend_start_seen;
+  /* The server started at about the same time as this process, as after a loss
+     of power.  That rules out older flows only if the record of the earlier
+     process in the store names another server.  */
+  bool started_with_backend;
+  bool previous_known; /* the store was read for that record */
+  uint64_t previous_backend_start;
   uint64_t unanswered_since_ms; /* oldest unanswered packet; 0: none */
   bool check_requested;         /* it returned a packet that it should accept */
   uint64_t last_check_ms;
--- a/core/record.c
+++ b/core/record.c
@@ -12,13 +12,13 @@
 bl_record_format (const struct bl_record *r)
 {
   json_t *json = json_pack (
-      "{s:i, s:i, s:s, s:s, s:s, s:I, s:i, s:i, s:i, s:i, s:I, s:I, s:I}",
+      "{s:i, s:i, s:s, s:s, s:s, s:I, s:i, s:i, s:i, s:i, s:I, s:I, s:I, s:I}",
       "kind", (int)r->kind, "state", (int)r->state, "id", r->id.s, "dc",
       r->dc.s, "service", r->service.s, "ip", (json_int_t)r->ip, "data_port",
       (int)r->data_port, "control_port", (int)r->control_port, "bulk_port",
       (int)r->bulk_port, "admin_port", (int)r->admin_port, "incarnation",
       (json_int_t)r->incarnation, "seq", (json_int_t)r->seq, "slots",
-      (json_int_t)r->slots);
+      (json_int_t)r->slots, "backend_start", (json_int_t)r->backend_start);
   char *text = json_dumps (json, JSON_COMPACT);
 
   json_decref (json);
@@ -78,6 +78,10 @@
   record->incarnation = read_number (json, "incarnation", INT64_MAX, &valid);
   record->seq = (uint32_t)read_number (json, "seq", UINT32_MAX, &valid);
   record->slots = (uint32_t)read_number (json, "slots", UINT32_MAX, &valid);
+  /* Records of earlier versions have none.  */
+  if (json_object_get (json, "backend_start") != NULL)
+    record->backend_start
+        = read_number (json, "backend_start", INT64_MAX, &valid);
   json_decref (json);
   if (record->kind == BL_KIND_BACKEND && !has_service)
     valid = false;
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -156,6 +156,10 @@
    written yet.  */
 void registry_publish (struct registry *registry,
                        const struct bl_record *record);
+/* Stores in RECORD what the store held under this instance's name before the
+   first write, all zero if nothing.  Returns false until the store has been
+   read.  */
+bool registry_previous (struct registry *registry, struct bl_record *record);
 /* Notes that the store is in ERA, as heard from anybody.  If the record was
    written in an earlier one, it is checked and, if the store lacks it, written
    again.  */
--- a/daemon/follower.c
+++ b/daemon/follower.c
@@ -22,8 +22,8 @@
 #define BACKOFF_MIN_MS 150
 #define BACKOFF_MAX_MS 1200
 #define SLEEP_STEP_MS  50 /* between checks of the stop flag */
-/* Age that a stale answer may have.  For this time after a list, such an answer
-   may be from before the restore that the list follows.  */
+/* Age that a stale answer may have.  For this time after the position was lost,
+   such an answer may be from before the restore.  */
 #define STALE_MAX_MS 10000
 
 struct follower
@@ -41,7 +41,7 @@
   bool changed;        /* the current call returned an object */
   bool listed;         /* the objects were listed, and POSITION is valid */
   uint64_t newest_era; /* of the store's answers so far */
-  uint64_t listed_ms;  /* when the last list ended */
+  uint64_t lost_ms;    /* when the position was last given up; 0: never */
   struct follower_ops ops;
   void *ctx;
 };
@@ -134,7 +134,6 @@
   if (result != PLATFORM_STORE_OK)
     return result;
   f->listed = true;
-  f->listed_ms = io_now_ms ();
   if (f->ops.listed != NULL)
     f->ops.listed (f->ctx);
   return result;
@@ -143,8 +142,9 @@
 static enum platform_store_result
 watch_objects (struct follower *f, bool is_retry)
 {
-  bool stale = f->settings.allow_stale && !is_retry
-               && io_now_ms () - f->listed_ms >= STALE_MAX_MS;
+  bool stale
+      = f->settings.allow_stale && !is_retry
+        && (f->lost_ms == 0 || io_now_ms () - f->lost_ms >= STALE_MAX_MS);
 
   return platform_store_watch (f->store, f->settings.kind,
                                is_retry ? 0 : next_wait_ms (f), stale,
@@ -156,6 +156,7 @@
 give_up_position (struct follower *f, enum platform_store_result result)
 {
   f->listed = false;
+  f->lost_ms = io_now_ms ();
   io_log (IO_INFO, "store_position_lost",
           "kind=%s result=\"%s\" position=%lu.%lu era=%lu", f->settings.kind,
           platform_store_result_name (result), f->position.era,
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -50,6 +50,7 @@
   struct passthrough_socket outgoing; /* to and from the backend server */
   struct passthrough_socket control;  /* control messages */
   struct passthrough_socket check;    /* connection attempt; fd 0: none */
+  bool previous_noted; /* the core knows which server was served before */
   uint64_t check_start_ms;
   uint64_t stopping_ms; /* start of the graceful stop; 0: not stopping */
   uint64_t malformed;   /* packets, link messages and heartbeats */
@@ -377,6 +378,19 @@
 
 /* -- start and stop -- */
 
+/* Tells the core which backend server an earlier process served, as soon as the
+   store has been read.  */
+static void
+note_previous (struct passthrough *p)
+{
+  struct bl_record previous;
+
+  if (p->previous_noted || !registry_previous (p->registry, &previous))
+    return;
+  p->previous_noted = true;
+  bl_passthrough_note_previous (p->core, previous.backend_start);
+}
+
 static void
 on_tick (void *ctx)
 {
@@ -384,6 +398,7 @@
   uint64_t now = io_now_ms ();
 
   bl_passthrough_tick (p->core, now);
+  note_previous (p);
   registry_note_era (p->registry, bl_passthrough_store_era (p->core));
   expire_check (p);
   if (daemon_take_reload_request ())
--- a/daemon/registry.c
+++ b/daemon/registry.c
@@ -22,6 +22,7 @@
   struct platform_store *store;
   struct bl_record record;
   struct bl_own_record decisions;
+  struct bl_record previous; /* in the store before the first write */
   bool stop_requested;
   bool withdraw;  /* delete the record before the thread ends */
   bool reachable; /* as of the last call */
@@ -149,6 +150,8 @@
       bl_own_record_failed (o, io_now_ms (), BL_OWN_RECORD_CHECK);
       return;
     }
+  if (!o->checked)
+    r->previous = stored.record;
   finding = bl_own_record_checked (o, io_now_ms (), era, stored.revision,
                                    stored.found ? &stored.record : NULL,
                                    &r->record);
@@ -226,6 +229,18 @@
   pthread_mutex_unlock (&registry->mutex);
 }
 
+bool
+registry_previous (struct registry *registry, struct bl_record *record)
+{
+  bool known;
+
+  pthread_mutex_lock (&registry->mutex);
+  known = registry->decisions.checked;
+  *record = registry->previous;
+  pthread_mutex_unlock (&registry->mutex);
+  return known;
+}
+
 void
 registry_note_era (struct registry *registry, uint64_t era)
 {
--- a/test/test_own_record.c
+++ b/test/test_own_record.c
@@ -185,7 +185,7 @@
   (void)state;
   for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
     {
-      struct bl_own_record o = { .random = { SEED } };
+      struct bl_own_record o = { .random = { SEED }, .checked = true };
       enum bl_own_record_action last = BL_OWN_RECORD_WAIT;
       for (unsigned k = 0; k < STEPS_MAX && cases[i].steps[k].event != END; k++)
         {
@@ -200,6 +200,34 @@
     }
 }
 
+/* Before the first write the store is read for the record of an earlier
+   process; whatever it holds, the record of this one is written then.  */
+static void
+test_first_write (void **state)
+{
+  static const uint64_t stored[]
+      = { NO_RECORD, INCARNATION - 1, INCARNATION + 1 };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof stored / sizeof stored[0]; i++)
+    {
+      struct bl_own_record o = { .random = { SEED } };
+      const struct step check = { CHECKED, 5, 1, stored[i], 0 };
+      uint64_t due_ms;
+      bl_own_record_changed (&o);
+      assert_int_equal (bl_own_record_next (&o, 1, &due_ms),
+                        BL_OWN_RECORD_CHECK);
+      bl_own_record_failed (&o, 2, BL_OWN_RECORD_CHECK);
+      assert_int_equal (bl_own_record_next (&o, 3, &due_ms),
+                        BL_OWN_RECORD_WAIT);
+      assert_int_equal (bl_own_record_next (&o, 300, &due_ms),
+                        BL_OWN_RECORD_CHECK);
+      pass_event (&o, &check, BL_OWN_RECORD_CHECK);
+      assert_int_equal (bl_own_record_next (&o, 300, &due_ms),
+                        BL_OWN_RECORD_WRITE);
+    }
+}
+
 #define INSTANCES    71000 /* of the target size */
 #define READS_S      1000  /* half of the store's rate */
 #define RESTORE_MS   1000000
@@ -217,7 +245,8 @@
   (void)state;
   for (unsigned i = 0; i < INSTANCES; i++)
     {
-      struct bl_own_record o = { .random = { bl_random_next (&seeds) } };
+      struct bl_own_record o
+          = { .random = { bl_random_next (&seeds) }, .checked = true };
       uint64_t written = i % RECENT_EVERY == 0 ? RESTORE_MS - 1000 : 1000;
       uint64_t due_ms;
       bl_own_record_written (&o, written, 1, 7);
@@ -239,6 +268,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_actions),
+    cmocka_unit_test (test_first_write),
     cmocka_unit_test (test_checks_are_spread),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -547,6 +547,47 @@
     }
 }
 
+/* Guards against the reset of flows that an earlier process of this agent
+   delivered: a server that is a little older than the agent holds none only if
+   the record of that process names another server.  */
+static void
+test_record_of_earlier_process (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    uint64_t start;    /* of the server */
+    bool known;        /* the store was read */
+    uint64_t previous; /* server in the record; 0: none */
+    enum bl_link_type want;
+  } cases[] = {
+    { "the store has not answered", INCARNATION - 300, false, 0,
+      BL_LINK_INCOMPLETE },
+    { "another server", INCARNATION - 300, true, INCARNATION - 60000,
+      BL_LINK_NOT_OWNED },
+    { "this server", INCARNATION - 300, true, INCARNATION - 300,
+      BL_LINK_INCOMPLETE },
+    { "no record", INCARNATION - 300, true, 0, BL_LINK_NOT_OWNED },
+    { "a much older server", INCARNATION - 60000, true, 0, BL_LINK_INCOMPLETE },
+    { "a younger server", INCARNATION + 10, false, 0, BL_LINK_NOT_OWNED },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct observed observed = { .delivered = 0 };
+      struct bl_passthrough *p = new_agent (&observed);
+      struct input ready = { HB_READY, cases[i].start, 1 };
+      if (cases[i].known)
+        bl_passthrough_note_previous (p, cases[i].previous);
+      pass_input (p, 5, &ready);
+      assert_true (observed.published.backend_start == cases[i].start);
+      if (query_owner (p, &observed, 10) != cases[i].want)
+        fail_msg ("%s", cases[i].name);
+      bl_passthrough_free (p);
+    }
+}
+
 /* A server restarts after its clock was set back, so that its start time is
    lower than that of the previous process.  Its heartbeats must be
    distinguished from late ones of an older start: they continue while those of
@@ -941,6 +982,7 @@
     cmocka_unit_test (test_server_answers_after_restart),
     cmocka_unit_test (test_supersedes_later_incarnation),
     cmocka_unit_test (test_query_before_first_tick),
+    cmocka_unit_test (test_record_of_earlier_process),
     cmocka_unit_test (test_flow_ownership),
     cmocka_unit_test (test_idle_time),
     cmocka_unit_test (test_reused_port),
