--- a/ctl/change.c
+++ b/ctl/change.c
@@ -10,7 +10,7 @@
 
    A platform that was restored from an older copy may lack versions that the
    balancers have in force.  The relays write these again, so a change waits
-   until the platform has caught up; a version is never given out twice.
+   until the platform holds that version; no version is given out twice.
 
    If another change was accepted meanwhile, the edits are applied to the new
    root, unless one of the same services was changed; that is a conflict.  */
--- a/daemon/root_copy.c
+++ b/daemon/root_copy.c
@@ -2,7 +2,7 @@
    again when a restore of the platform has lost it
 
    Nodes never go back to an older version, so a version that the restored
-   platform lacks stays in force, and the platform has to catch up with it.  The
+   platform lacks stays in force, and is written to the platform again.  The
    keys of parts are hashes of their contents and the root is written on the
    condition of its version, so several relays may write the same configuration
    at a time.  */
