Owner lookups do not wait for one service before they ask another

Cause: the agents of services that the route led to before were queried only after all agents of its present services had answered. One agent that restarted hid the owner from every lookup; at the time-out the packet went to agents that could not tell.

Ruled out: incomplete lists of agents (a lookup that asks everybody finds the owners). That is not kept, since each lookup would query a whole data centre.

Change: the former services of a route, up to eight, are queried in the first round; all others when these have denied the flow, or 60 ms later; no agent is sent the packet before. The table of routes takes over the former services from the one it replaces.

--- a/core/dispatch_lookup.c
+++ b/core/dispatch_lookup.c
@@ -4,15 +4,16 @@
    Load pattern: a balancer joins, stops or restarts, and packets of many open
    flows reach another balancer within a moment.
 
-   The agents of the route's services receive an owner query; for a flow that is
-   opening here, at first only the agents that were offered it.  If all of them
-   reply that they do not own the flow, the agents of all other services receive
-   it too, because the route may have led to other services when the flow began.
-   The packet is held meanwhile.  The flow table of an agent that started after
-   its backend server is incomplete, so such an agent cannot rule out that its
-   backend server holds the flow.  The packet is sent to these agents as a
-   probe, to a few at a time, and a backend server that does not hold the flow
-   returns it.
+   The agents of the route's services receive an owner query, and those of the
+   services that the route led to before; for a flow that is opening here, at
+   first only the agents that were offered it.  The agents of all other services
+   receive it once these have replied without a claim, or if one of them does
+   not reply in time: this balancer may not know all former services of the
+   route.  The packet is held meanwhile.  The flow table of an agent that
+   started after its backend server is incomplete, so such an agent cannot rule
+   out that its backend server holds the flow.  When all agents were queried,
+   the packet is sent to these agents as a probe, to a few at a time, and a
+   backend server that does not hold the flow returns it.
 
    If no agent owns the flow, its backend server is gone and the caller is
    reset, but on two conditions only.  First, the packet must carry payload: a
@@ -35,6 +36,9 @@
 #include <stdlib.h>
 
 #define LOOKUP_TIMEOUT_MS 180 /* callers retransmit after 200 ms */
+/* If agents of the route's services have not replied by then, the agents of all
+   other services are queried; their replies arrive before LOOKUP_TIMEOUT_MS. */
+#define ROUTE_TIMEOUT_MS  60
 #define OPEN_PROBES_MAX   6   /* agents that have the packet at the same time */
 #define PROBE_TIMEOUT_MS  50  /* a backend server returns a packet within it */
 #define RANKED_AGENTS_MAX 512 /* of a service; any others come after them */
@@ -118,7 +122,8 @@
 }
 
 /* Queries the agents of the route's services, starting with the service that a
-   new flow would be placed in.  Returns the number of agents queried.  */
+   new flow would be placed in, and of the services that the route led to
+   before.  Returns the number of agents queried.  */
 static size_t
 query_route (struct bl_dispatch *d, struct bl_tracked_flow *f)
 {
@@ -134,6 +139,8 @@
   for (size_t s = 0; route != NULL && s < route->split_count; s++)
     if (&route->splits[s] != first)
       query_service (d, f, route->splits[s].service_hash);
+  for (size_t s = 0; route != NULL && s < route->former_count; s++)
+    query_service (d, f, route->former[s]);
   return f->lookup.count - before;
 }
 
@@ -238,23 +245,28 @@
     bl_tracked_flow_remove (d, f);
 }
 
-/* Handles a lookup in which no queried agent owns the flow.  The owner may be
-   an agent of which only other balancers hold the record.  */
-static void
-on_none_owns (struct bl_dispatch *d, struct bl_tracked_flow *f)
+/* Extends the lookup to further agents that may own the flow.  Returns false if
+   all have been queried.  */
+static bool
+query_further (struct bl_dispatch *d, struct bl_tracked_flow *f)
 {
   if (f->lookup.only_offered)
     {
       f->lookup.only_offered = false;
       if (query_route (d, f) > 0)
-        return;
-    }
-  if (!f->lookup.all_services)
-    {
-      f->lookup.all_services = true;
-      if (query_all (d, f) > 0)
-        return;
+        return true;
     }
+  if (f->lookup.all_services)
+    return false;
+  f->lookup.all_services = true;
+  return query_all (d, f) > 0;
+}
+
+/* Handles a lookup in which no agent owns the flow.  The owner may be an agent
+   of which only other balancers hold the record.  */
+static void
+on_none_owns (struct bl_dispatch *d, struct bl_tracked_flow *f)
+{
   if (!f->held_payload || !bl_fleet_is_connected (&d->fleet)
       || !bl_dispatch_has_all_agents (d))
     drop_held (d, f, "denied_by_all");
@@ -326,7 +338,11 @@
 {
   if (f->lookup.open_probes > 0 || !all_answered (d, &f->lookup))
     return;
-  if (!probe_next (d, f))
+  /* Agents that were offered the flow are sent the packet before any others are
+     queried, but no agent is sent it while another one may claim the flow.  */
+  if (f->lookup.only_offered && probe_next (d, f))
+    return;
+  if (!query_further (d, f) && !probe_next (d, f))
     on_none_owns (d, f);
 }
 
@@ -435,6 +451,8 @@
       advance (d, f);
       return;
     }
+  if (!lookup->only_offered && d->now - lookup->started_ms > ROUTE_TIMEOUT_MS)
+    query_further (d, f);
   if (d->now - lookup->started_ms <= LOOKUP_TIMEOUT_MS)
     return;
   /* An agent with an incomplete flow table may own the flow even if other
--- a/core/dispatch_state.c
+++ b/core/dispatch_state.c
@@ -43,6 +43,7 @@
       bl_route_table_free (table);
       return BL_ESTALE;
     }
+  bl_route_table_set_former (table, d->table);
   bl_route_table_free (d->table);
   d->table = table;
   d->update_pending = true;
--- a/core/route_table.c
+++ b/core/route_table.c
@@ -62,6 +62,43 @@
                   compare_routes);
 }
 
+static bool
+leads_to (const struct bl_route_entry *route, uint64_t service)
+{
+  for (size_t i = 0; i < route->split_count; i++)
+    if (route->splits[i].service_hash == service)
+      return true;
+  for (size_t i = 0; i < route->former_count; i++)
+    if (route->former[i] == service)
+      return true;
+  return false;
+}
+
+static void
+add_former (struct bl_route_entry *route, uint64_t service)
+{
+  if (route->former_count < BL_FORMER_MAX && !leads_to (route, service))
+    route->former[route->former_count++] = service;
+}
+
+void
+bl_route_table_set_former (struct bl_route_table *table,
+                           const struct bl_route_table *replaced)
+{
+  for (size_t i = 0; i < table->count; i++)
+    {
+      struct bl_route_entry *route = &table->routes[i];
+      const struct bl_route_entry *before
+          = bl_route_table_find (replaced, route->ip, route->port);
+      if (before == NULL)
+        continue;
+      for (size_t k = 0; k < before->split_count; k++)
+        add_former (route, before->splits[k].service_hash);
+      for (size_t k = 0; k < before->former_count; k++)
+        add_former (route, before->former[k]);
+    }
+}
+
 const struct bl_split *
 bl_route_choose_split (const struct bl_route_entry *route, uint64_t flow_hash)
 {
--- a/core/route_table.h
+++ b/core/route_table.h
@@ -5,7 +5,9 @@
 
 #include "boragelatch.h"
 
-#define BL_SPLIT_MAX 8 /* services among which a route divides its flows */
+#define BL_SPLIT_MAX  8 /* services among which a route divides its flows */
+#define BL_FORMER_MAX 8 /* former services kept for a route, the latest ones   \
+                         */
 
 /* HTTP path at which a balancer serves the text of its routes in force.  */
 #define BL_ROUTES_PATH "/v1/routes"
@@ -30,6 +32,10 @@
   struct bl_name name;
   size_t split_count;
   struct bl_split splits[BL_SPLIT_MAX];
+  /* Hashes of the services that earlier versions of the route led to, the
+     latest first.  Flows that are still open may be there.  */
+  size_t former_count;
+  uint64_t former[BL_FORMER_MAX];
 };
 
 /* All routes of one configuration version.  */
@@ -45,6 +51,10 @@
 void bl_route_table_free (struct bl_route_table *table);
 /* Sorts the routes by address and port.  Call once, after all were added.  */
 void bl_route_table_sort (struct bl_route_table *table);
+/* Sets the former services of each route in TABLE from the table that TABLE
+   replaces.  Call after bl_route_table_sort.  */
+void bl_route_table_set_former (struct bl_route_table *table,
+                                const struct bl_route_table *replaced);
 /* Returns the route of an address and port, or NULL.  */
 const struct bl_route_entry *bl_route_table_find (
     const struct bl_route_table *table, uint32_t ip, uint16_t port);
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -1300,6 +1300,54 @@
   bl_dispatch_free (d);
 }
 
+/* Guards against open flows whose owner is never asked: the flow's route leads
+   to another service by now, and an agent of that service does not reply, or
+   cannot tell.  The owner must be queried all the same, before the packet is
+   sent to any agent that has not claimed the flow.  */
+static const struct
+{
+  const char *name;
+  const char *service;     /* of the owner; the route leads to "t" */
+  enum bl_link_type reply; /* of the other agent; 0: none */
+  uint64_t asked_ms;       /* the owner must be queried within this time */
+} hidden_owners[] = {
+  { "former service, silent agent", "s", 0, 0 },
+  { "former service, incomplete agent", "s", BL_LINK_INCOMPLETE, 0 },
+  { "unknown former service, silent agent", "u", 0, 100 },
+  { "unknown former service, incomplete agent", "u", BL_LINK_INCOMPLETE, 100 },
+};
+
+static void
+test_silent_agent_hides_no_owner (void **state)
+{
+  const uint64_t start_ms = 410;
+
+  (void)state;
+  for (size_t i = 0; i < sizeof hidden_owners / sizeof hidden_owners[0]; i++)
+    {
+      struct observed observed = { .resets = 0 };
+      struct bl_dispatch *d = new_balancer (&observed);
+      uint64_t asked_ms = start_ms + hidden_owners[i].asked_ms;
+      add_agent (d, 10, 11, "t");
+      add_agent (d, 10, 12, hidden_owners[i].service);
+      bl_dispatch_list_complete (d, 10);
+      bl_dispatch_configure (d, 20, new_routes (2, "t", NULL));
+      bl_dispatch_tick (d, 400);
+      send_data (d, start_ms);
+      if (hidden_owners[i].reply != 0)
+        send_agent_reply (d, start_ms, 11, hidden_owners[i].reply);
+      for (uint64_t now = start_ms; now <= asked_ms; now += 10)
+        bl_dispatch_tick (d, now);
+      printf ("%s: queries %u packets %u\n", hidden_owners[i].name,
+              observed.queries, observed.packets);
+      assert_int_equal (observed.queries, 2);
+      assert_int_equal (observed.packets, 0);
+      send_agent_reply (d, asked_ms, 12, BL_LINK_OWNED);
+      assert_int_equal (observed.packets, 1);
+      bl_dispatch_free (d);
+    }
+}
+
 /* Guards against the reset of an open flow whose agent only restarts: while
    that agent does not answer, another one, whose flow table is incomplete, must
    not become the owner by elimination, and its leaving is no reason for a
@@ -1543,6 +1591,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_flow_table_limit),
     cmocka_unit_test (test_former_service),
+    cmocka_unit_test (test_silent_agent_hides_no_owner),
     cmocka_unit_test (test_silence),
     cmocka_unit_test (test_agent_returns),
     cmocka_unit_test (test_address_taken_over),
