Owner lookups outlast the restart of an agent, and few strangers get the packet

Cause: a lookup without result was forgotten. The next retransmission was sent to the same incomplete agents again, six at a time, and an agent that was down was presumed to be the owner because it did not return a probe; when it was back it got everything.

Change: lookups last up to 2 s and repeat queries to agents that are heard of again; what a server returned is kept for the flow; while an agent that may own the flow is silent, one packet in 2 s goes to strangers; only an agent that was heard of since its probe is presumed to be the owner; copies of held packets are dropped.

Tests: test_few_strangers_during_restart fails before ("packets 9 servers 3"). test_packets_held_during_lookup sent one packet three times and wanted three deliveries; it now sends three different ones and a copy, and wants three.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -126,23 +126,40 @@
   bl_tracked_flow_set_pending (d, f, false);
   HASH_DEL (d->flows, f);
   free (f->lookup.queried);
+  free (f->probes);
   bl_tracked_flow_discard_held (f);
   free (f);
 }
 
+static bool
+holds_payload (const struct bl_tracked_flow *f, const struct bl_packet *packet)
+{
+  for (size_t i = 0; i < f->held_count; i++)
+    if (f->held[i].payload_len > 0
+        && f->held[i].payload_len == packet->payload_len
+        && f->held[i].seq == packet->seq)
+      return true;
+  return false;
+}
+
 void
 bl_tracked_flow_hold (struct bl_tracked_flow *f,
                       const struct bl_raw_packet *raw)
 {
   uint8_t *copy;
 
-  if (f->held_count == BL_HELD_PACKETS_MAX)
+  if (f->held_count == BL_HELD_PACKETS_MAX || holds_payload (f, raw->packet))
     return;
   copy = malloc (raw->len);
   if (copy == NULL)
     return;
   memcpy (copy, raw->ptr, raw->len);
-  f->held[f->held_count++] = (struct bl_held_packet){ copy, raw->len };
+  f->held[f->held_count++] = (struct bl_held_packet){
+    .ptr = copy,
+    .len = raw->len,
+    .seq = raw->packet->seq,
+    .payload_len = raw->packet->payload_len,
+  };
   f->held_payload = f->held_payload || raw->packet->payload_len > 0;
 }
 
@@ -402,8 +419,10 @@
 on_unknown_flow (struct bl_dispatch *d,
                  struct bl_tracked_flow *f,
                  struct bl_instance *from,
+                 uint32_t ack,
                  const struct bl_raw_packet *returned)
 {
+  bl_lookup_note_returned (f, from, ack);
   if (f->phase == BL_PHASE_OWNER_LOOKUP)
     bl_lookup_on_returned (d, f, from, returned);
   else if (f->phase == BL_PHASE_OPEN && f->owner == from
@@ -439,7 +458,7 @@
         bl_placement_on_reply (d, f, agent, link);
       break;
     case BL_LINK_UNKNOWN_FLOW:
-      on_unknown_flow (d, f, agent, &returned);
+      on_unknown_flow (d, f, agent, link->ack, &returned);
       break;
     case BL_LINK_OWNED:
     case BL_LINK_NOT_OWNED:
--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -29,6 +29,8 @@
 {
   uint8_t *ptr; /* owned */
   size_t len;
+  uint32_t seq;
+  uint16_t payload_len;
 };
 
 enum bl_flow_phase
@@ -54,6 +56,27 @@
 {
   struct bl_instance *instance;
   enum bl_reply reply;
+  uint64_t query_ms; /* when the last query was sent */
+};
+
+#define BL_RETURNED_MAX 8
+
+/* A backend server that returned a packet of a flow: this start of it does not
+   hold the flow.  */
+struct bl_returned_by
+{
+  const struct bl_instance *instance;
+  uint64_t backend_start;
+};
+
+/* What is known of a flow from packets that were sent to agents which had not
+   claimed it.  Outlives a lookup without result.  */
+struct bl_flow_probes
+{
+  uint32_t ack;     /* acknowledgement number of the packets */
+  uint64_t sent_ms; /* when the last one was sent */
+  size_t returned_count;
+  struct bl_returned_by returned[BL_RETURNED_MAX];
 };
 
 /* The state of an owner lookup.  */
@@ -67,6 +90,7 @@
   struct bl_queried_agent *queried; /* owned */
   size_t open_probes; /* agents that were sent the packet and have not
                          returned it */
+  bool paused;        /* no result; continues with the caller's next packet */
   bool only_offered;  /* only agents that were offered the flow are queried */
   bool all_services;  /* agents of all services are queried, not only those of
                          the route's services */
@@ -90,6 +114,7 @@
   size_t offer_count;
   struct bl_offer offers[BL_OFFERS_MAX];
   struct bl_dispatch_owner_lookup lookup;
+  struct bl_flow_probes *probes; /* owned; NULL: none was sent */
   /* Packets held until the owner is known, or a first packet that may have to
      be offered again; in order of arrival.  */
   size_t held_count;
@@ -177,8 +202,8 @@
 struct bl_tracked_flow *bl_tracked_flow_find (struct bl_dispatch *d,
                                               const struct bl_flow_key *key);
 void bl_tracked_flow_remove (struct bl_dispatch *d, struct bl_tracked_flow *f);
-/* Holds a copy of a packet.  Drops the packet if BL_HELD_PACKETS_MAX are held
-   already or memory runs out.  */
+/* Holds a copy of a packet.  Drops the packet if it repeats the payload of one
+   that is held, if BL_HELD_PACKETS_MAX are held already or memory runs out.  */
 void bl_tracked_flow_hold (struct bl_tracked_flow *f,
                            const struct bl_raw_packet *raw);
 /* Frees all held packets.  */
@@ -266,6 +291,11 @@
                             struct bl_tracked_flow *f,
                             struct bl_instance *from,
                             const struct bl_raw_packet *returned);
+/* Notes that the backend server of the agent FROM does not hold the flow with
+   acknowledgement number ACK.  */
+void bl_lookup_note_returned (struct bl_tracked_flow *f,
+                              const struct bl_instance *from,
+                              uint32_t ack);
 void bl_lookup_check_timeouts (struct bl_dispatch *d,
                                struct bl_tracked_flow *f);
 
--- a/core/dispatch_lookup.c
+++ b/core/dispatch_lookup.c
@@ -38,7 +38,15 @@
 #define LOOKUP_TIMEOUT_MS 180 /* callers retransmit after 200 ms */
 /* If agents of the route's services have not replied by then, the agents of all
    other services are queried; their replies arrive before LOOKUP_TIMEOUT_MS. */
-#define ROUTE_TIMEOUT_MS  60
+#define ROUTE_TIMEOUT_MS 60
+/* A lookup ends without result if it lasts longer.  Callers send a packet again
+   after 1.6 s at most.  */
+#define LOOKUP_MAX_MS   2000
+#define QUERY_REPEAT_MS 60 /* at least, between two queries to an agent */
+/* While an agent that may own the flow has not replied, one packet at most is
+   sent as a probe within this time: a flow counts as broken after several
+   packets at other servers while none reaches its own.  */
+#define PROBE_INTERVAL_MS 2000
 #define OPEN_PROBES_MAX   6   /* agents that have the packet at the same time */
 #define PROBE_TIMEOUT_MS  50  /* a backend server returns a packet within it */
 #define RANKED_AGENTS_MAX 512 /* of a service; any others come after them */
@@ -82,10 +90,11 @@
 }
 
 static void
-query_agent (struct bl_dispatch *d,
-             struct bl_tracked_flow *f,
-             struct bl_instance *agent)
+send_query (struct bl_dispatch *d,
+            struct bl_tracked_flow *f,
+            struct bl_queried_agent *queried)
 {
+  struct bl_instance *agent = queried->instance;
   struct bl_link_msg link = {
     .type = BL_LINK_OWNER_QUERY,
     .service = agent->service,
@@ -93,14 +102,41 @@
     .ack = f->lookup.ack,
   };
 
-  if (is_queried (&f->lookup, agent) || !add_queried (&f->lookup, agent))
-    return;
+  queried->query_ms = d->now;
   bl_instance_note_request (agent, d->now);
   bl_link_budget_spend (&d->link_budget, d->now, 0);
   d->ops.send_to_agent (d->ctx, bl_instance_data_address (agent), &link, NULL,
                         0);
 }
 
+static void
+query_agent (struct bl_dispatch *d,
+             struct bl_tracked_flow *f,
+             struct bl_instance *agent)
+{
+  if (!is_queried (&f->lookup, agent) && add_queried (&f->lookup, agent))
+    send_query (d, f, &f->lookup.queried[f->lookup.count - 1]);
+}
+
+/* Queries agents again that have not replied, or could not tell, and were heard
+   of since: they have restarted, or a message was lost.  */
+static void
+repeat_queries (struct bl_dispatch *d, struct bl_tracked_flow *f)
+{
+  for (size_t i = 0; i < f->lookup.count; i++)
+    {
+      struct bl_queried_agent *queried = &f->lookup.queried[i];
+      const struct bl_instance *agent = queried->instance;
+      bool undecided = queried->reply == BL_REPLY_NONE
+                       || queried->reply == BL_REPLY_INCOMPLETE;
+      bool heard = agent->last_message_ms > queried->query_ms
+                   || agent->record_ms > queried->query_ms;
+      if (undecided && heard && may_hold_flows (agent)
+          && d->now - queried->query_ms >= QUERY_REPEAT_MS)
+        send_query (d, f, queried);
+    }
+}
+
 /* Queries the agents of a service, in the order in which those whose flow table
    is incomplete are sent the packet as a probe.  */
 static void
@@ -193,14 +229,20 @@
     query_route (d, f);
 }
 
+/* Returns true if packets with these acknowledgement numbers belong to the same
+   flow, and not to another flow of the same port.  */
+static bool
+is_same_flow (uint32_t ack, uint32_t other)
+{
+  return ack - other + ACK_WINDOW / 2 < ACK_WINDOW;
+}
+
 void
 bl_lookup_add_packet (struct bl_dispatch *d,
                       struct bl_tracked_flow *f,
                       const struct bl_raw_packet *raw)
 {
-  uint32_t distance = raw->packet->ack - f->lookup.ack + ACK_WINDOW / 2;
-
-  if (distance < ACK_WINDOW)
+  if (!f->lookup.paused && is_same_flow (raw->packet->ack, f->lookup.ack))
     bl_tracked_flow_hold (f, raw);
   else
     bl_lookup_start (d, f, raw);
@@ -232,6 +274,17 @@
   f->phase = BL_PHASE_OPENING;
 }
 
+/* Ends a lookup without a result, until the caller's next packet.  */
+static void
+pause_lookup (struct bl_dispatch *d, struct bl_tracked_flow *f)
+{
+  bl_tracked_flow_set_pending (d, f, false);
+  bl_tracked_flow_discard_held (f);
+  free (f->lookup.queried);
+  f->lookup = (struct bl_dispatch_owner_lookup){ .ack = f->lookup.ack,
+                                                 .paused = true };
+}
+
 static void
 drop_held (struct bl_dispatch *d, struct bl_tracked_flow *f, const char *reason)
 {
@@ -241,6 +294,8 @@
                             d->now - f->phase_start_ms);
   if (f->lookup.only_offered)
     return_to_opening (d, f);
+  else if (f->probes != NULL)
+    pause_lookup (d, f);
   else
     bl_tracked_flow_remove (d, f);
 }
@@ -296,16 +351,96 @@
   bl_tracked_flow_set_owner (d, f, owner, backend_start);
 }
 
+/* Returns true when all queried agents, except those that are gone, have
+   replied.  */
+static bool
+all_answered (const struct bl_dispatch *d,
+              const struct bl_dispatch_owner_lookup *lookup)
+{
+  for (size_t i = 0; i < lookup->count; i++)
+    if (lookup->queried[i].reply == BL_REPLY_NONE
+        && may_hold_flows (lookup->queried[i].instance)
+        && !bl_instance_is_gone (lookup->queried[i].instance, d->now))
+      return false;
+  return true;
+}
+
+/* Returns true if the owner, unless it is gone, is one of the agents whose flow
+   tables are incomplete.  */
+static bool
+is_owner_among_incomplete (const struct bl_dispatch *d,
+                           const struct bl_dispatch_owner_lookup *lookup)
+{
+  if (!all_answered (d, lookup))
+    return false;
+  return lookup->only_offered
+         || (lookup->all_services && bl_dispatch_has_all_agents (d));
+}
+
+/* Returns the record of probes for the flow that the caller's packets belong
+   to, or NULL if memory runs out.  */
+static struct bl_flow_probes *
+get_probes (struct bl_tracked_flow *f, uint32_t ack)
+{
+  if (f->probes == NULL)
+    f->probes = calloc (1, sizeof *f->probes);
+  else if (is_same_flow (ack, f->probes->ack))
+    return f->probes;
+  if (f->probes != NULL)
+    *f->probes = (struct bl_flow_probes){ .ack = ack };
+  return f->probes;
+}
+
+static bool
+has_returned (const struct bl_tracked_flow *f, const struct bl_instance *agent)
+{
+  const struct bl_flow_probes *probes = f->probes;
+
+  if (probes == NULL || !is_same_flow (f->lookup.ack, probes->ack))
+    return false;
+  for (size_t i = 0; i < probes->returned_count; i++)
+    if (probes->returned[i].instance == agent
+        && probes->returned[i].backend_start == agent->backend_start)
+      return true;
+  return false;
+}
+
+void
+bl_lookup_note_returned (struct bl_tracked_flow *f,
+                         const struct bl_instance *from,
+                         uint32_t ack)
+{
+  struct bl_flow_probes *probes = get_probes (f, ack);
+
+  if (probes != NULL && !has_returned (f, from)
+      && probes->returned_count < BL_RETURNED_MAX)
+    probes->returned[probes->returned_count++]
+        = (struct bl_returned_by){ from, from->backend_start };
+}
+
+/* Returns how many probes may be open now.  */
+static size_t
+open_probes_max (const struct bl_dispatch *d, const struct bl_tracked_flow *f)
+{
+  if (is_owner_among_incomplete (d, &f->lookup))
+    return OPEN_PROBES_MAX;
+  if (f->probes != NULL && f->probes->sent_ms != 0
+      && d->now - f->probes->sent_ms < PROBE_INTERVAL_MS)
+    return 0;
+  return 1;
+}
+
 /* Sends the packet as a probe to the next agents with incomplete flow tables.
    Returns false when no probe is open.  */
 static bool
 probe_next (struct bl_dispatch *d, struct bl_tracked_flow *f)
 {
   struct bl_dispatch_owner_lookup *lookup = &f->lookup;
+  size_t open_max = open_probes_max (d, f);
 
   for (size_t i = 0; i < lookup->count && f->held_count > 0; i++)
     {
-      if (lookup->open_probes == OPEN_PROBES_MAX)
+      if (lookup->open_probes >= open_max)
         break;
       if (lookup->queried[i].reply != BL_REPLY_INCOMPLETE
           || !may_hold_flows (lookup->queried[i].instance))
@@ -313,26 +448,14 @@
       lookup->queried[i].reply = BL_REPLY_PROBED;
       lookup->open_probes++;
       lookup->last_probe_ms = d->now;
+      if (get_probes (f, lookup->ack) != NULL)
+        f->probes->sent_ms = d->now;
       bl_dispatch_forward (d, f, lookup->queried[i].instance, f->held[0].ptr,
                            f->held[0].len);
     }
   return lookup->open_probes > 0;
 }
 
-/* Returns true when all queried agents, except those that are gone, have
-   replied.  */
-static bool
-all_answered (const struct bl_dispatch *d,
-              const struct bl_dispatch_owner_lookup *lookup)
-{
-  for (size_t i = 0; i < lookup->count; i++)
-    if (lookup->queried[i].reply == BL_REPLY_NONE
-        && may_hold_flows (lookup->queried[i].instance)
-        && !bl_instance_is_gone (lookup->queried[i].instance, d->now))
-      return false;
-  return true;
-}
-
 static void
 advance (struct bl_dispatch *d, struct bl_tracked_flow *f)
 {
@@ -373,9 +496,10 @@
     }
   if (queried == NULL || link->ack != lookup->ack)
     return;
-  if (queried->reply == BL_REPLY_NONE)
-    queried->reply = link->type == BL_LINK_NOT_OWNED ? BL_REPLY_NOT_OWNED
-                                                     : BL_REPLY_INCOMPLETE;
+  if (queried->reply == BL_REPLY_NONE || queried->reply == BL_REPLY_INCOMPLETE)
+    queried->reply = link->type == BL_LINK_NOT_OWNED || has_returned (f, from)
+                         ? BL_REPLY_NOT_OWNED
+                         : BL_REPLY_INCOMPLETE;
   advance (d, f);
 }
 
@@ -387,6 +511,12 @@
 {
   struct bl_queried_agent *queried = find_queried (&f->lookup, from);
 
+  if (f->lookup.paused)
+    {
+      if (returned->packet != NULL)
+        bl_lookup_start (d, f, returned);
+      return;
+    }
   if (queried != NULL && queried->reply == BL_REPLY_PROBED)
     {
       queried->reply = BL_REPLY_NOT_OWNED;
@@ -410,11 +540,43 @@
       }
 }
 
-/* Handles probes that were not returned in time.  If only one is open and all
-   other agents have denied the flow, its agent is presumed to be the owner.
-   Otherwise the held packets are dropped:
-   either one of the backend servers holds the flow, which its agent reports
-   with the next packet of the backend server, or a probe was lost.  */
+/* Returns true if the lookup ends, whatever is outstanding.  */
+static bool
+is_overdue (const struct bl_dispatch *d,
+            const struct bl_dispatch_owner_lookup *lookup)
+{
+  uint64_t max_ms = lookup->only_offered ? LOOKUP_TIMEOUT_MS : LOOKUP_MAX_MS;
+
+  return d->now - lookup->started_ms > max_ms;
+}
+
+/* Handles the only probe that was not returned in time, when all other agents
+   have denied the flow.  An agent that was heard of since would have returned
+   the packet, so it is presumed to be the owner.  Any other one may have
+   stopped before the packet arrived; it is queried again when it returns.  */
+static void
+on_last_probe_timeout (struct bl_dispatch *d,
+                       struct bl_tracked_flow *f,
+                       struct bl_queried_agent *probed)
+{
+  struct bl_instance *agent = probed->instance;
+
+  if (agent->last_message_ms > f->lookup.last_probe_ms)
+    {
+      on_owner_found (d, f, agent, agent->backend_start, "not_returned", false);
+      f->owner_presumed = true;
+      return;
+    }
+  f->lookup.open_probes--;
+  probed->reply = BL_REPLY_NONE;
+  probed->query_ms = f->lookup.last_probe_ms;
+}
+
+/* Handles probes that were not returned in time.  While other agents have not
+   replied, they are waited for.  If several probes are open after that, the
+   held packets are dropped: either one of the backend servers holds the flow,
+   which its agent reports with the next packet of the backend server, or a
+   probe was lost.  */
 static void
 on_probe_timeout (struct bl_dispatch *d, struct bl_tracked_flow *f)
 {
@@ -424,13 +586,11 @@
   for (size_t i = 0; i < lookup->count; i++)
     if (lookup->queried[i].reply == BL_REPLY_PROBED)
       only = &lookup->queried[i];
-  if (lookup->open_probes == 1 && only != NULL && all_answered (d, lookup))
-    {
-      on_owner_found (d, f, only->instance, only->instance->backend_start,
-                      "not_returned", false);
-      f->owner_presumed = true;
-    }
-  else
+  if (is_overdue (d, lookup))
+    drop_held (d, f, "no_answer");
+  else if (all_answered (d, lookup) && lookup->open_probes == 1 && only != NULL)
+    on_last_probe_timeout (d, f, only);
+  else if (all_answered (d, lookup))
     drop_held (d, f, "no_answer");
 }
 
@@ -438,8 +598,10 @@
 bl_lookup_check_timeouts (struct bl_dispatch *d, struct bl_tracked_flow *f)
 {
   struct bl_dispatch_owner_lookup *lookup = &f->lookup;
+  uint64_t elapsed_ms = d->now - lookup->started_ms;
 
   close_left_probes (lookup);
+  repeat_queries (d, f);
   if (lookup->open_probes > 0)
     {
       if (d->now - lookup->last_probe_ms > PROBE_TIMEOUT_MS)
@@ -451,12 +613,11 @@
       advance (d, f);
       return;
     }
-  if (!lookup->only_offered && d->now - lookup->started_ms > ROUTE_TIMEOUT_MS)
+  if (!lookup->only_offered && elapsed_ms > ROUTE_TIMEOUT_MS)
     query_further (d, f);
-  if (d->now - lookup->started_ms <= LOOKUP_TIMEOUT_MS)
-    return;
   /* An agent with an incomplete flow table may own the flow even if other
      agents have not replied.  */
-  if (!probe_next (d, f))
+  if (elapsed_ms > LOOKUP_TIMEOUT_MS && !probe_next (d, f)
+      && is_overdue (d, lookup))
     drop_held (d, f, "no_answer");
 }
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -298,6 +298,7 @@
 {
   unsigned queries;
   unsigned packets;
+  uint32_t packet_ips[16]; /* agents that the first of these were sent to */
   unsigned resets;
   unsigned sent; /* messages */
   unsigned told; /* messages that state an era of the store */
@@ -312,9 +313,10 @@
 {
   struct observed *observed = ctx;
 
-  (void)to;
   (void)packet;
   (void)len;
+  if (link->type == BL_LINK_PACKET && observed->packets < 16)
+    observed->packet_ips[observed->packets] = to.ip;
   observed->queries += link->type == BL_LINK_OWNER_QUERY;
   observed->packets += link->type == BL_LINK_PACKET;
 }
@@ -484,6 +486,17 @@
   send_packet (d, now, 0, 10);
 }
 
+/* Sends ten bytes from sequence number SEQ on.  */
+static void
+send_payload (struct bl_dispatch *d, uint64_t now, uint32_t seq)
+{
+  struct bl_packet p = {
+    .key = single_key, .flags = BL_TCP_ACK, .seq = seq, .payload_len = 10
+  };
+
+  bl_dispatch_packet (d, now, &p, (const uint8_t *)&p, sizeof p);
+}
+
 /* Guards against the reset of a new flow because of denials for an earlier flow
    from the same port: a packet of an ended flow arrives late, and during its
    owner lookup the port is used again.  */
@@ -1131,7 +1144,7 @@
 
 /* Guards against lost packets: a request of several packets reaches a balancer
    without an entry for its flow, and all of them must be held until the owner
-   is found.  */
+   is found, each once.  */
 static void
 test_packets_held_during_lookup (void **state)
 {
@@ -1140,9 +1153,9 @@
 
   (void)state;
   add_agent (d, 10, 11, "s");
-  send_data (d, 20);
-  send_data (d, 21);
-  send_data (d, 22);
+  for (uint32_t k = 0; k < 3; k++)
+    send_payload (d, 20 + k, 10 * k);
+  send_payload (d, 23, 10); /* a copy */
   assert_int_equal (observed.packets, 0);
   send_agent_reply (d, 30, 11, BL_LINK_OWNED);
   assert_int_equal (observed.packets, 3);
@@ -1361,6 +1374,7 @@
   INCOMPLETE, /* or cannot tell */
   LEFT,       /* or announces that its backend server has left */
   STARTING,   /* or announces that it restarts */
+  STATUS,     /* or reports its status, so it runs */
 };
 
 struct lookup_step
@@ -1374,7 +1388,7 @@
 static const struct
 {
   const char *name;
-  struct lookup_step steps[9];
+  struct lookup_step steps[10];
   unsigned resets;
   unsigned last_packets; /* sent to agents after the last step */
 } eliminations[] = {
@@ -1406,6 +1420,7 @@
       { DATA, 11010, 0 },
       { DENIED, 11015, 11 },
       { INCOMPLETE, 11020, 12 },
+      { STATUS, 11030, 12 },
       { LEFT, 11400, 12 },
       { DATA, 12000, 0 },
       { OWNED, 12010, 11 } },
@@ -1416,6 +1431,7 @@
       { DATA, 11010, 0 },
       { DENIED, 11015, 11 },
       { INCOMPLETE, 11020, 12 },
+      { STATUS, 11030, 12 },
       { LEFT, 11400, 12 },
       { DATA, 12000, 0 },
       { DENIED, 12010, 11 } },
@@ -1426,6 +1442,7 @@
       { DATA, 11010, 0 },
       { DENIED, 11015, 11 },
       { INCOMPLETE, 11020, 12 },
+      { STATUS, 11030, 12 },
       { OWNED, 11200, 12 },
       { LEFT, 11400, 12 } },
     1,
@@ -1434,18 +1451,35 @@
     { { STARTING, 11000, 11 },
       { DATA, 11010, 0 },
       { INCOMPLETE, 11020, 12 },
+      { STATUS, 11220, 12 },
       { DATA, 11400, 0 } },
     0,
     0 },
+  { "an agent that leaves before its probe gets none",
+    { { STARTING, 11000, 11 },
+      { DATA, 11010, 0 },
+      { INCOMPLETE, 11020, 12 },
+      { LEFT, 11100, 12 } },
+    0,
+    0 },
   { "an agent that has left is not awaited",
     { { DATA, 11010, 0 }, { DENIED, 11015, 11 }, { LEFT, 11020, 12 } },
     1,
     0 },
+  { "an agent that was not heard of since its probe is no owner",
+    { { DENIED, 11000, 11 },
+      { DATA, 11010, 0 },
+      { DENIED, 11015, 11 },
+      { INCOMPLETE, 11020, 12 },
+      { DATA, 11400, 0 } },
+    0,
+    0 },
   { "another one claims the flow of an owner by elimination",
     { { DENIED, 11000, 11 },
       { DATA, 11010, 0 },
       { DENIED, 11015, 11 },
       { INCOMPLETE, 11020, 12 },
+      { STATUS, 11030, 12 },
       { OWNED, 11200, 11 },
       { LEFT, 11400, 12 },
       { DATA, 12000, 0 } },
@@ -1497,6 +1531,9 @@
     case INCOMPLETE:
       send_agent_reply (d, s->now, s->ip, BL_LINK_INCOMPLETE);
       break;
+    case STATUS:
+      send_agent_status (d, s->now, s->ip, 0);
+      break;
     default:
       announce_agent (d, s->now, s->ip,
                       s->event == LEFT ? BL_STATE_LEFT : BL_STATE_STARTING);
@@ -1535,6 +1572,108 @@
     }
 }
 
+/* Guards against open flows whose packets visit one server after another while
+   their own agent restarts.  Agent 11 owns the flow and announces a restart;
+   the others, 12 to 14, cannot tell, and their servers return every packet.
+   The caller retransmits as a client does.  */
+#define VISIT_START_MS 11000
+
+static void
+return_packets (struct bl_dispatch *d,
+                const struct observed *observed,
+                unsigned *returned,
+                uint64_t now)
+{
+  struct bl_packet p
+      = { .key = single_key, .flags = BL_TCP_ACK, .payload_len = 10 };
+  struct bl_link_msg link
+      = { .type = BL_LINK_UNKNOWN_FLOW, .key = single_key, .incarnation = 1 };
+
+  for (; *returned < observed->packets && *returned < 16; ++*returned)
+    {
+      uint32_t ip = observed->packet_ips[*returned];
+      if (ip != 11)
+        bl_dispatch_link (d, now, (struct bl_addr){ ip, 1 }, &link, &p,
+                          (const uint8_t *)&p, sizeof p);
+    }
+}
+
+/* Plays the restart until END_MS; the agent replies again from BACK_MS on.  */
+static void
+play_restart (struct bl_dispatch *d,
+              struct observed *observed,
+              uint64_t back_ms,
+              uint64_t end_ms)
+{
+  static const uint64_t sent_ms[] = { 0, 200, 600, 1400, 3000, 4600 };
+  unsigned returned = 0;
+  size_t next = 0;
+
+  for (uint64_t ms = 0; ms <= end_ms; ms += 10)
+    {
+      uint64_t now = VISIT_START_MS + ms;
+      unsigned queries = observed->queries;
+      if (next < 6 && sent_ms[next] == ms)
+        {
+          send_data (d, now);
+          next++;
+        }
+      if (ms >= back_ms)
+        send_agent_status (d, now, 11, 0);
+      for (uint32_t ip = 12; ip < 15; ip++)
+        send_agent_status (d, now, ip, 0);
+      bl_dispatch_tick (d, now);
+      if (observed->queries == queries)
+        continue;
+      for (uint32_t ip = 12; ip < 15; ip++)
+        send_agent_reply (d, now + 1, ip, BL_LINK_INCOMPLETE);
+      if (ms >= back_ms)
+        send_agent_reply (d, now + 1, 11, BL_LINK_OWNED);
+      return_packets (d, observed, &returned, now + 2);
+    }
+}
+
+static const struct
+{
+  const char *name;
+  uint64_t back_ms;
+  uint64_t end_ms;
+  unsigned packets; /* sent to any agent until then */
+  unsigned visited; /* servers that do not hold the flow */
+} restarts[] = {
+  { "one packet at a stranger within two seconds", 9000, 1990, 1, 1 },
+  { "the next one at another stranger", 9000, 3990, 2, 2 },
+  { "a returning agent gets the held packet at once", 800, 1000, 2, 1 },
+};
+
+static void
+test_few_strangers_during_restart (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof restarts / sizeof restarts[0]; i++)
+    {
+      struct observed observed = { .resets = 0 };
+      struct bl_dispatch *d = new_balancer (&observed);
+      bool visited[15] = { false };
+      unsigned count = 0;
+      for (uint32_t ip = 11; ip < 15; ip++)
+        add_agent (d, 10000, ip, "s");
+      bl_dispatch_list_complete (d, 10000);
+      announce_agent (d, VISIT_START_MS - 10, 11, BL_STATE_STARTING);
+      play_restart (d, &observed, restarts[i].back_ms, restarts[i].end_ms);
+      for (unsigned k = 0; k < observed.packets && k < 16; k++)
+        visited[observed.packet_ips[k]] = true;
+      for (uint32_t ip = 12; ip < 15; ip++)
+        count += visited[ip] ? 1 : 0;
+      printf ("%s: packets %u servers %u\n", restarts[i].name, observed.packets,
+              count);
+      assert_int_equal (observed.packets, restarts[i].packets);
+      assert_int_equal (count, restarts[i].visited);
+      assert_int_equal (observed.resets, 0);
+      bl_dispatch_free (d);
+    }
+}
+
 /* Guards against callers that wait for an unreachable owner, and against resets
    by an isolated balancer: the owner of a flow stops replying.  While the other
    agents reply, it counts as unreachable and the flow is reset; when they stop
@@ -1608,6 +1747,7 @@
     cmocka_unit_test (test_agents_told_of_era),
     cmocka_unit_test (test_agents_told_of_idle_time),
     cmocka_unit_test (test_owner_by_elimination),
+    cmocka_unit_test (test_few_strangers_during_restart),
     cmocka_unit_test (test_routes_confirmed),
     cmocka_unit_test (test_likely_owners_first),
     cmocka_unit_test (test_denials_of_complete_list),
