Agents hand their flow table over at a planned restart

Cause: a planned stop threw the flow table away. For 17 s after each restart an agent could deny nothing, so lookups ended in probes or in silence.

Memory of balancers: messages are lost, balancers restart too, and none knows whether its copy is the latest.

Change: a stopping agent writes its table to an object of its own in the platform's store; the next process takes it over if it is of the process in its record, of the present era, and no balancer knows a process in between (docs/design/handover.md). What the writer had not seen stays undecided for as long as for the writer. The emulator's agents do the same.

--- a/core/dispatch_lookup.c
+++ b/core/dispatch_lookup.c
@@ -100,6 +100,7 @@
     .service = agent->service,
     .key = f->key,
     .ack = f->lookup.ack,
+    .incarnation = agent->record.incarnation,
   };
 
   queried->query_ms = d->now;
@@ -582,15 +583,15 @@
 {
   struct bl_dispatch_owner_lookup *lookup = &f->lookup;
   struct bl_queried_agent *only = NULL;
+  bool answered = all_answered (d, lookup);
+  bool overdue = is_overdue (d, lookup);
 
   for (size_t i = 0; i < lookup->count; i++)
     if (lookup->queried[i].reply == BL_REPLY_PROBED)
       only = &lookup->queried[i];
-  if (is_overdue (d, lookup))
-    drop_held (d, f, "no_answer");
-  else if (all_answered (d, lookup) && lookup->open_probes == 1 && only != NULL)
+  if (answered && lookup->open_probes == 1 && only != NULL && !overdue)
     on_last_probe_timeout (d, f, only);
-  else if (all_answered (d, lookup))
+  else if (answered || overdue)
     drop_held (d, f, "no_answer");
 }
 
--- a/core/link.h
+++ b/core/link.h
@@ -63,7 +63,8 @@
   uint8_t priority;       /* of the packet's route; 0 is the most urgent */
   uint32_t seq;           /* initial sequence number of the backend server */
   uint32_t ack;           /* acknowledgement number of the caller's packet */
-  uint64_t incarnation;   /* of the agent */
+  uint64_t incarnation;   /* of the agent; in a query, as the balancer knows it;
+                             0: not known */
   uint64_t backend_start; /* start time of the backend server, in milliseconds
                              since 1970; 0: unknown */
   uint32_t busy;          /* requests that the backend server is serving */
--- a/core/passthrough.c
+++ b/core/passthrough.c
@@ -2,9 +2,10 @@
    itself
 
    The backend server decides which flows it holds: it returns every packet of
-   any other flow.  The agent's table of flows is therefore only a cache.  It is
-   empty after a restart; packets are delivered all the same, and the server's
-   packets fill the table again.
+   any other flow.  The agent's table of flows is therefore only a cache.  After
+   a planned restart it is taken over from the process before (handover.c).
+   After any other restart it is empty; packets are delivered all the same, and
+   the server's packets fill the table again.
 
    Draining is enforced here: once a heartbeat reports it, no first packet is
    delivered, even if balancers have not received that state yet.  A packet that
@@ -394,6 +395,7 @@
       f->closed = false;
       f->next_seq_known = false;
       f->caller_seq_known = false;
+      f->handed_over = false;
     }
   set_class (pass, f, class);
   f->first_seq = packet->seq;
@@ -404,20 +406,31 @@
   deliver (pass, from, packet, bytes, len);
 }
 
-/* Returns true if the backend server may hold flows that are missing here
-   because they are older than this process.  */
-static bool
-is_incomplete (const struct bl_passthrough *pass)
+/* Returns for how much longer flows may be missing here that the backend server
+   holds because they are older than this process.  In milliseconds; 0: none are
+   missing.  */
+static uint64_t
+incomplete_ms (const struct bl_passthrough *pass)
 {
+  uint64_t total_ms = pass->taken_over ? pass->taken_over_incomplete_ms
+                                       : pass->idle_ms + INCOMPLETE_MARGIN_MS;
+  uint64_t running_ms;
+
   if (pass->self.state >= BL_STATE_LEFT || pass->backend_left
       || pass->backend_start_seen)
-    return false;
+    return 0;
   if (pass->started_with_backend && pass->previous_known
       && pass->previous_backend_start != pass->backend_start)
-    return false;
+    return 0;
   /* A message may arrive before the first tick.  */
-  return pass->started_ms == 0
-         || pass->now - pass->started_ms < pass->idle_ms + INCOMPLETE_MARGIN_MS;
+  running_ms = pass->started_ms != 0 ? pass->now - pass->started_ms : 0;
+  return running_ms < total_ms ? total_ms - running_ms : 0;
+}
+
+static bool
+is_incomplete (const struct bl_passthrough *pass)
+{
+  return incomplete_ms (pass) > 0;
 }
 
 /* Handles payload of a caller.  A request takes a slot of the backend server
@@ -521,6 +534,20 @@
                      len);
 }
 
+/* Handles the incarnation under which a balancer knows this agent.  If that is
+   a process between the one whose flow table was taken over and this one, flows
+   that it accepted are missing.  */
+static void
+note_process_between (struct bl_passthrough *pass, uint64_t incarnation)
+{
+  if (!pass->taken_over || incarnation <= pass->taken_over_from
+      || incarnation == pass->self.incarnation)
+    return;
+  pass->taken_over = false;
+  pass->ops.log_decision (pass->ctx, "handover_void", "process_between", NULL,
+                          pass->now - pass->started_ms);
+}
+
 static void
 on_query (struct bl_passthrough *pass,
           struct bl_addr from,
@@ -529,14 +556,17 @@
   struct bl_passthrough_flow *f = find_flow (pass, &query->key);
   struct bl_link_msg link = { .key = query->key, .ack = query->ack };
 
+  note_process_between (pass, query->incarnation);
   if (f != NULL && matches_ack (f, query->ack))
     {
       link.type = BL_LINK_OWNED;
       f->balancer = from;
       f->owner_reported = true;
     }
+  else if (is_incomplete (pass) || (f != NULL && f->handed_over))
+    link.type = BL_LINK_INCOMPLETE;
   else
-    link.type = is_incomplete (pass) ? BL_LINK_INCOMPLETE : BL_LINK_NOT_OWNED;
+    link.type = BL_LINK_NOT_OWNED;
   if (f != NULL && link.type != BL_LINK_OWNED)
     pass->ops.log_decision (pass->ctx, "not_owned",
                             f->next_seq_known ? "other_numbers"
@@ -575,6 +605,7 @@
 
   f->next_seq = packet->seq + 1;
   f->next_seq_known = true;
+  f->handed_over = false;
   f->owner_reported = true;
   if (f->offered_ms != 0)
     bl_histogram_add (&pass->accept_times, pass->now - f->offered_ms);
@@ -594,6 +625,7 @@
   if (!f->next_seq_known || (int32_t)(end - f->next_seq) > 0)
     f->next_seq = end;
   f->next_seq_known = true;
+  f->handed_over = false;
 }
 
 static void
@@ -780,6 +812,7 @@
   if (msg.store_era > pass->store_era)
     pass->store_era = msg.store_era;
   note_idle_time (pass, &msg);
+  note_process_between (pass, msg.incarnation);
   supersede (pass, &msg);
   send_status (pass, from,
                msg.seq != pass->self.seq
@@ -805,6 +838,83 @@
   pass->previous_backend_start = start;
 }
 
+int
+bl_passthrough_hand_over (struct bl_passthrough *pass,
+                          uint64_t now,
+                          struct bl_handover *out)
+{
+  size_t count = HASH_COUNT (pass->flows);
+  struct bl_passthrough_flow *f;
+  struct bl_passthrough_flow *next;
+
+  pass->now = now;
+  *out = (struct bl_handover){ .incarnation = pass->self.incarnation };
+  if (bl_passthrough_has_no_backend (pass))
+    return BL_ENOTFOUND;
+  if (count > BL_HANDOVER_FLOWS_MAX)
+    return BL_ERANGE;
+  out->incomplete_ms = incomplete_ms (pass);
+  out->flows = calloc (count + 1, sizeof *out->flows);
+  if (out->flows == NULL)
+    return BL_ENOMEM;
+  HASH_ITER (hh, pass->flows, f, next)
+  out->flows[out->count++] = (struct bl_handover_flow){
+    .key = f->key,
+    .first_seq = f->first_seq,
+    .next_seq = f->next_seq,
+    .next_seq_known = f->next_seq_known,
+    .established = f->established,
+    .closed = f->closed,
+  };
+  return BL_OK;
+}
+
+/* Adds a flow of an earlier process, unless its packets told this one more.  */
+static void
+take_over_flow (struct bl_passthrough *pass,
+                const struct bl_handover_flow *flow)
+{
+  struct bl_passthrough_flow *f = find_flow (pass, &flow->key);
+
+  if (f != NULL && f->next_seq_known)
+    return;
+  f = get_flow (pass, &flow->key);
+  if (f == NULL)
+    return;
+  f->first_seq = flow->first_seq;
+  f->next_seq = flow->next_seq;
+  f->next_seq_known = flow->next_seq_known;
+  f->established = f->established || flow->established;
+  f->closed = f->closed || flow->closed;
+  f->handed_over = true;
+}
+
+bool
+bl_passthrough_take_over (struct bl_passthrough *pass,
+                          uint64_t now,
+                          const struct bl_handover *handover,
+                          uint64_t previous,
+                          uint64_t store_era)
+{
+  bool valid = handover->incarnation != 0 && handover->incarnation == previous
+               && handover->store_era == store_era;
+
+  pass->now = now;
+  pass->ops.log_decision (pass->ctx, valid ? "taken_over" : "handover_ignored",
+                          handover->store_era != store_era ? "other_era"
+                          : valid                          ? "last_process"
+                                                           : "other_process",
+                          NULL, handover->incomplete_ms);
+  if (!valid)
+    return false;
+  for (size_t i = 0; i < handover->count; i++)
+    take_over_flow (pass, &handover->flows[i]);
+  pass->taken_over = true;
+  pass->taken_over_from = handover->incarnation;
+  pass->taken_over_incomplete_ms = handover->incomplete_ms;
+  return true;
+}
+
 uint64_t
 bl_passthrough_store_era (const struct bl_passthrough *pass)
 {
--- a/core/passthrough.h
+++ b/core/passthrough.h
@@ -8,6 +8,7 @@
 #ifndef BL_PASSTHROUGH_H
 #define BL_PASSTHROUGH_H
 
+#include "core/handover.h"
 #include "core/histogram.h"
 #include "core/link.h"
 
@@ -147,6 +148,23 @@
    according to its record in the platform's store: START is that server's
    start; 0: there is no record, or it names none.  */
 void bl_passthrough_note_previous (struct bl_passthrough *pass, uint64_t start);
+/* Copies the flow table for the next process of this agent into OUT, which must
+   be released with bl_handover_clear.  To be called after bl_passthrough_stop,
+   which ends the acceptance of flows.  Returns BL_ENOTFOUND if there is no
+   backend server, BL_ERANGE if there are more than BL_HANDOVER_FLOWS_MAX flows,
+   or BL_ENOMEM.  */
+int bl_passthrough_hand_over (struct bl_passthrough *pass,
+                              uint64_t now,
+                              struct bl_handover *out);
+/* Takes over the flow table of an earlier process, as read from the platform's
+   store in STORE_ERA.  PREVIOUS is the incarnation in this agent's record in
+   the store before the first write.  Returns false if HANDOVER is not that of
+   the last process before this one.  */
+bool bl_passthrough_take_over (struct bl_passthrough *pass,
+                               uint64_t now,
+                               const struct bl_handover *handover,
+                               uint64_t previous,
+                               uint64_t store_era);
 /* Returns the newest era of the platform's store that a balancer has told of; 0
    if none has.  */
 uint64_t bl_passthrough_store_era (const struct bl_passthrough *pass);
--- a/core/passthrough_inner.h
+++ b/core/passthrough_inner.h
@@ -26,11 +26,13 @@
   bool next_seq_known;
   bool caller_seq_known;
   bool established;
-  uint8_t class;           /* see core/class_load.h */
-  bool closed;             /* FIN or RST seen */
-  bool queued_behind;      /* the request under way found all slots taken */
-  bool awaiting_request;   /* opened, and no request has arrived yet */
-  bool owner_reported;     /* BALANCER has been sent the owner */
+  uint8_t class;         /* see core/class_load.h */
+  bool closed;           /* FIN or RST seen */
+  bool queued_behind;    /* the request under way found all slots taken */
+  bool awaiting_request; /* opened, and no request has arrived yet */
+  bool owner_reported;   /* BALANCER has been sent the owner */
+  bool handed_over; /* from an earlier process; the server has not sent a packet
+                       of it since */
   struct bl_addr balancer; /* source of the last packet; port 0: none */
   UT_hash_handle hh;
 };
@@ -73,8 +75,12 @@
   bool started_with_backend;
   bool previous_known; /* the store was read for that record */
   uint64_t previous_backend_start;
-  uint64_t unanswered_since_ms; /* oldest unanswered packet; 0: none */
-  bool check_requested;         /* it returned a packet that it should accept */
+  /* The flow table of the process before this one was taken over.  */
+  bool taken_over;
+  uint64_t taken_over_from;          /* incarnation of that process */
+  uint64_t taken_over_incomplete_ms; /* see struct bl_handover */
+  uint64_t unanswered_since_ms;      /* oldest unanswered packet; 0: none */
+  bool check_requested; /* it returned a packet that it should accept */
   uint64_t last_check_ms;
   unsigned start_checks; /* checks made while STARTING */
   /* Balancers.  */
--- a/core/route_table.h
+++ b/core/route_table.h
@@ -5,9 +5,10 @@
 
 #include "boragelatch.h"
 
-#define BL_SPLIT_MAX  8 /* services among which a route divides its flows */
-#define BL_FORMER_MAX 8 /* former services kept for a route, the latest ones   \
-                         */
+#define BL_SPLIT_MAX 8 /* services among which a route divides its flows */
+#define BL_FORMER_MAX                                                          \
+  8 /* former services kept for a route, the latest ones                       \
+     */
 
 /* HTTP path at which a balancer serves the text of its routes in force.  */
 #define BL_ROUTES_PATH "/v1/routes"
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -3,6 +3,7 @@
 #ifndef DAEMON_H
 #define DAEMON_H
 
+#include "core/handover.h"
 #include "core/histogram.h"
 #include "daemon/settings.h"
 #include "io/io.h"
@@ -151,7 +152,10 @@
    own.  */
 struct registry;
 
-struct registry *registry_start (struct bl_addr store, uint64_t random_seed);
+/* READ_HANDOVER is true for agents, which read what their earlier process left
+   in the store.  */
+struct registry *
+registry_start (struct bl_addr store, uint64_t random_seed, bool read_handover);
 /* Schedules a copy of RECORD to be written; it replaces a record that is not
    written yet.  */
 void registry_publish (struct registry *registry,
@@ -160,6 +164,18 @@
    first write, all zero if nothing.  Returns false until the store has been
    read.  */
 bool registry_previous (struct registry *registry, struct bl_record *record);
+/* Writes HANDOVER, of which it takes ownership, before any other call.  */
+void registry_hand_over (struct registry *registry,
+                         struct bl_handover *handover);
+/* Returns true if no handover waits to be written.  */
+bool registry_is_handed_over (struct registry *registry);
+/* Passes what an earlier process of this agent left in the store to OUT, which
+   must then be released with bl_handover_clear, and stores in *ERA the era in
+   which the store gave it.  Returns true once, when it was read; false as long
+   as it was not, or if there is none.  */
+bool registry_take_over (struct registry *registry,
+                         struct bl_handover *out,
+                         uint64_t *era);
 /* Notes that the store is in ERA, as heard from anybody.  If the record was
    written in an earlier one, it is checked and, if the store lacks it, written
    again.  */
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -620,7 +620,7 @@
   };
 
   d->puller = puller_start (BL_ROUTES_PATH, on_routes_pulled, d);
-  d->registry = registry_start (s->store, s->random_seed + 2);
+  d->registry = registry_start (s->store, s->random_seed + 2, false);
   d->routes = follower_start (&routes, &routes_ops, d);
   d->instances = follower_start (&instances, &instances_ops, d);
   if (d->puller == NULL || d->registry == NULL || d->routes == NULL
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -26,6 +26,7 @@
 #define READS_PER_EVENT    256  /* datagrams before other sources are handled */
 #define CHECK_TIMEOUT_MS   1000 /* of a connection attempt */
 #define STOP_DELAY_MS      100  /* in which the last messages reach balancers */
+#define HANDOVER_MAX_MS    1000 /* for writing the flow table at a stop */
 
 struct passthrough;
 
@@ -350,6 +351,22 @@
                     (json_int_t)bl_passthrough_busy (p->core));
 }
 
+/* Leaves the flow table to the next process.  */
+static void
+hand_over (struct passthrough *p)
+{
+  struct bl_handover handover;
+  int err = bl_passthrough_hand_over (p->core, io_now_ms (), &handover);
+
+  if (err == BL_OK)
+    registry_hand_over (p->registry, &handover);
+  else
+    io_log (IO_INFO, "handover_omitted", "why=\"%s\"",
+            err == BL_ENOTFOUND ? "no backend server"
+            : err == BL_ERANGE  ? "too many flows"
+                                : "out of memory");
+}
+
 static void
 begin_stop (struct passthrough *p)
 {
@@ -359,6 +376,7 @@
   io_log (IO_INFO, "stop_started", "id=%s flows=%zu", p->settings->id.s,
           bl_passthrough_flow_count (p->core));
   bl_passthrough_stop (p->core, p->stopping_ms);
+  hand_over (p);
 }
 
 static void
@@ -391,6 +409,34 @@
   bl_passthrough_note_previous (p->core, previous.backend_start);
 }
 
+/* Passes the flow table of an earlier process to the core, once it was read. */
+static void
+take_over (struct passthrough *p)
+{
+  struct bl_handover handover;
+  struct bl_record previous;
+  uint64_t era;
+
+  if (!registry_take_over (p->registry, &handover, &era))
+    return;
+  registry_previous (p->registry, &previous);
+  bl_passthrough_take_over (p->core, io_now_ms (), &handover,
+                            previous.incarnation, era);
+  bl_handover_clear (&handover);
+}
+
+/* Returns true when the last messages have had time to reach the balancers and
+   the flow table was written, or could not be written in time.  */
+static bool
+may_end (const struct passthrough *p, uint64_t now)
+{
+  uint64_t waited_ms = now - p->stopping_ms;
+
+  if (p->stopping_ms == 0 || waited_ms < STOP_DELAY_MS)
+    return false;
+  return registry_is_handed_over (p->registry) || waited_ms >= HANDOVER_MAX_MS;
+}
+
 static void
 on_tick (void *ctx)
 {
@@ -399,13 +445,14 @@
 
   bl_passthrough_tick (p->core, now);
   note_previous (p);
+  take_over (p);
   registry_note_era (p->registry, bl_passthrough_store_era (p->core));
   expire_check (p);
   if (daemon_take_reload_request ())
     decision_log_reload (p->log, p->settings);
   if (daemon_stop_requested ())
     begin_stop (p);
-  if (p->stopping_ms != 0 && now - p->stopping_ms >= STOP_DELAY_MS)
+  if (may_end (p, now))
     io_loop_stop (p->loop);
 }
 
@@ -477,7 +524,7 @@
   p->check.passthrough = p;
   p->loop = io_loop_new ();
   p->log = decision_log_new ((unsigned)s->log_lines_s);
-  p->registry = registry_start (s->store, s->random_seed);
+  p->registry = registry_start (s->store, s->random_seed, true);
   if (p->loop == NULL || p->log == NULL || p->registry == NULL
       || open_core (p) != 0)
     return -1;
--- a/daemon/registry.c
+++ b/daemon/registry.c
@@ -1,9 +1,12 @@
 /* registry.c -- writes this instance's membership record to the platform's
-   store
+   store, and an agent's flow table when it stops
 
    One thread makes the calls that core/own_record.c decides on.  While the
-   store fails, instances exchange their records directly.  */
+   store fails, instances exchange their records directly.  The flow table that
+   an earlier process of the agent left is read once, after the first check of
+   the record.  */
 
+#include "core/handover.h"
 #include "core/own_record.h"
 #include "core/store.h"
 #include "daemon/daemon.h"
@@ -14,6 +17,22 @@
 #include <string.h>
 #include <time.h>
 
+#define HANDOVER_READS_MAX 5   /* calls, until an earlier table is given up */
+#define HANDOVER_RETRY_MS  100 /* after a call that failed */
+
+/* What is known of the object with this agent's handover.  */
+struct handover_object
+{
+  struct platform_store_position position;
+  unsigned reads_left;
+  uint64_t call_ms;           /* when the next call is due */
+  bool loaded;                /* READ was filled, and is not passed on yet */
+  uint64_t read_era;          /* of the answer that READ is from */
+  struct bl_handover read;    /* owned */
+  bool write_due;             /* WRITTEN has to be written */
+  struct bl_handover written; /* owned */
+};
+
 struct registry
 {
   pthread_t thread;
@@ -23,6 +42,7 @@
   struct bl_record record;
   struct bl_own_record decisions;
   struct bl_record previous; /* in the store before the first write */
+  struct handover_object handover;
   bool stop_requested;
   bool withdraw;  /* delete the record before the thread ends */
   bool reachable; /* as of the last call */
@@ -159,6 +179,133 @@
           stored.revision, bl_own_record_finding_name (finding));
 }
 
+/* Parses the handover that the store holds; a visitor function of the store. */
+static void
+note_handover (void *ctx,
+               struct bl_str name,
+               uint64_t revision,
+               const char *text)
+{
+  struct handover_object *h = ctx;
+
+  (void)name;
+  h->position.revision = revision;
+  h->loaded = text != NULL && bl_handover_parse (&h->read, text) == BL_OK;
+}
+
+/* Reads the handover.  The mutex is released during the call.  */
+static void
+read_handover (struct registry *r)
+{
+  struct bl_name id = r->record.id;
+  struct handover_object found = { .reads_left = r->handover.reads_left - 1 };
+  struct platform_store_visitor visitor
+      = { .visit = note_handover, .ctx = &found };
+  enum platform_store_result result;
+
+  pthread_mutex_unlock (&r->mutex);
+  result
+      = platform_store_get (r->store, PLATFORM_HANDOVERS_KIND, id.s, &visitor);
+  found.position.era = platform_store_era (r->store);
+  found.read_era = found.position.era;
+  found.call_ms = io_now_ms () + HANDOVER_RETRY_MS;
+  pthread_mutex_lock (&r->mutex);
+  update_reachable (r, result);
+  if (result == PLATFORM_STORE_OK || result == PLATFORM_STORE_NOT_FOUND)
+    found.reads_left = 0;
+  found.write_due = r->handover.write_due;
+  found.written = r->handover.written;
+  r->handover = found;
+  io_log (IO_INFO, "handover_read", "result=\"%s\" era=%lu flows=%zu",
+          platform_store_result_name (result), found.read_era,
+          found.read.count);
+}
+
+/* Writes the handover.  The mutex is released during the call.  */
+static void
+write_handover (struct registry *r)
+{
+  struct handover_object *h = &r->handover;
+  struct bl_name id = r->record.id;
+  struct platform_store_position position = h->position;
+  enum platform_store_result result = PLATFORM_STORE_REFUSED;
+  char *text;
+
+  h->written.store_era = r->decisions.newest_era;
+  text = bl_handover_format (&h->written);
+  pthread_mutex_unlock (&r->mutex);
+  if (text != NULL)
+    result = platform_store_put (r->store, PLATFORM_HANDOVERS_KIND, id.s, text,
+                                 &position);
+  io_log (IO_INFO, "handover_written", "result=\"%s\" flows=%zu bytes=%zu",
+          platform_store_result_name (result), h->written.count,
+          text != NULL ? strlen (text) : 0);
+  free (text);
+  pthread_mutex_lock (&r->mutex);
+  update_reachable (r, result);
+  h->position = position;
+  h->write_due
+      = result != PLATFORM_STORE_OK && result != PLATFORM_STORE_REFUSED;
+  /* After a conflict the position is the current one.  */
+  if (result != PLATFORM_STORE_CONFLICT)
+    h->call_ms = io_now_ms () + HANDOVER_RETRY_MS;
+}
+
+/* Returns when the next call about the handover is due; 0: none is.  */
+static uint64_t
+handover_due_ms (const struct registry *r)
+{
+  const struct handover_object *h = &r->handover;
+
+  if (!h->write_due && (h->reads_left == 0 || !r->decisions.checked))
+    return 0;
+  return h->call_ms != 0 ? h->call_ms : 1;
+}
+
+/* Performs the next action on the record or the handover, or waits.  */
+static void
+perform_next (struct registry *r)
+{
+  uint64_t now = io_now_ms ();
+  uint64_t handover_ms = handover_due_ms (r);
+  uint64_t due_ms;
+
+  if (handover_ms != 0 && handover_ms <= now)
+    {
+      if (r->handover.write_due)
+        write_handover (r);
+      else
+        read_handover (r);
+      return;
+    }
+  switch (bl_own_record_next (&r->decisions, now, &due_ms))
+    {
+    case BL_OWN_RECORD_WRITE:
+      write_record (r);
+      break;
+    case BL_OWN_RECORD_CHECK:
+      check_record (r);
+      break;
+    default:
+      if (due_ms == 0 || (handover_ms != 0 && handover_ms < due_ms))
+        due_ms = handover_ms;
+      wait_changed (r, due_ms != 0 ? due_ms - now : 0);
+    }
+}
+
+/* Deletes what the store holds of an agent whose backend server has left.  */
+static void
+withdraw (struct registry *r)
+{
+  enum platform_store_result result = platform_store_delete (
+      r->store, PLATFORM_INSTANCES_KIND, r->record.id.s);
+
+  io_log (IO_INFO, "record_withdrawn", "result=\"%s\"",
+          platform_store_result_name (result));
+  if (r->handover.position.revision != 0)
+    platform_store_delete (r->store, PLATFORM_HANDOVERS_KIND, r->record.id.s);
+}
+
 static void *
 thread_main (void *ctx)
 {
@@ -166,34 +313,15 @@
 
   pthread_mutex_lock (&r->mutex);
   while (!r->stop_requested)
-    {
-      uint64_t now = io_now_ms ();
-      uint64_t due_ms;
-      switch (bl_own_record_next (&r->decisions, now, &due_ms))
-        {
-        case BL_OWN_RECORD_WRITE:
-          write_record (r);
-          break;
-        case BL_OWN_RECORD_CHECK:
-          check_record (r);
-          break;
-        default:
-          wait_changed (r, due_ms != 0 ? due_ms - now : 0);
-        }
-    }
+    perform_next (r);
   if (r->withdraw)
-    {
-      enum platform_store_result result = platform_store_delete (
-          r->store, PLATFORM_INSTANCES_KIND, r->record.id.s);
-      io_log (IO_INFO, "record_withdrawn", "result=\"%s\"",
-              platform_store_result_name (result));
-    }
+    withdraw (r);
   pthread_mutex_unlock (&r->mutex);
   return NULL;
 }
 
 struct registry *
-registry_start (struct bl_addr store, uint64_t random_seed)
+registry_start (struct bl_addr store, uint64_t random_seed, bool read_handover)
 {
   struct registry *r = calloc (1, sizeof *r);
   pthread_condattr_t attr;
@@ -206,6 +334,7 @@
   pthread_cond_init (&r->changed, &attr);
   r->decisions.random.state = random_seed;
   r->reachable = true;
+  r->handover.reads_left = read_handover ? HANDOVER_READS_MAX : 0;
   r->store = platform_store_new (store);
   if (r->store == NULL
       || pthread_create (&r->thread, NULL, thread_main, r) != 0)
@@ -241,6 +370,49 @@
   return known;
 }
 
+void
+registry_hand_over (struct registry *registry, struct bl_handover *handover)
+{
+  pthread_mutex_lock (&registry->mutex);
+  registry->handover.written = *handover;
+  registry->handover.write_due = true;
+  registry->handover.call_ms = 0;
+  pthread_cond_signal (&registry->changed);
+  pthread_mutex_unlock (&registry->mutex);
+}
+
+bool
+registry_is_handed_over (struct registry *registry)
+{
+  bool written;
+
+  pthread_mutex_lock (&registry->mutex);
+  written = !registry->handover.write_due;
+  pthread_mutex_unlock (&registry->mutex);
+  return written;
+}
+
+bool
+registry_take_over (struct registry *registry,
+                    struct bl_handover *out,
+                    uint64_t *era)
+{
+  struct handover_object *h = &registry->handover;
+  bool loaded;
+
+  pthread_mutex_lock (&registry->mutex);
+  loaded = h->loaded;
+  h->loaded = false;
+  if (loaded)
+    {
+      *out = h->read;
+      *era = h->read_era;
+      h->read = (struct bl_handover){ .count = 0 };
+    }
+  pthread_mutex_unlock (&registry->mutex);
+  return loaded;
+}
+
 void
 registry_note_era (struct registry *registry, uint64_t era)
 {
@@ -270,6 +442,8 @@
   pthread_mutex_unlock (&registry->mutex);
   pthread_join (registry->thread, NULL);
   platform_store_free (registry->store);
+  bl_handover_clear (&registry->handover.read);
+  bl_handover_clear (&registry->handover.written);
   free (registry);
 }
 
--- a/emulator/emulator.c
+++ b/emulator/emulator.c
@@ -532,12 +532,18 @@
   em_post (s->em, CHECK_US, report_check_result, s->index, 0);
 }
 
+bool
+em_agent_reaches_store (const struct em_server *s)
+{
+  return s->em->store_up && s->em->now_us >= s->agent.disconnected_until_us;
+}
+
 static void
 agent_publish (void *ctx, const struct bl_record *record)
 {
   struct em_server *s = ctx;
 
-  if (s->em->store_up && s->em->now_us >= s->agent.disconnected_until_us)
+  if (em_agent_reaches_store (s))
     s->published = *record;
 }
 
@@ -608,6 +614,9 @@
   s->agent.generation++;
   bl_passthrough_free (s->core);
   s->core = bl_passthrough_new (&settings, &pass_ops, s);
+  if (em_agent_reaches_store (s))
+    bl_passthrough_take_over (s->core, em_core_now_ms (em), &s->handover,
+                              s->published.incarnation, 0);
   em_post (em, 1, tick_agent, index, 0)->tag = s->agent.generation;
 }
 
@@ -812,6 +821,7 @@
     bl_dispatch_free (em->balancers[i].core);
   for (size_t i = 0; i < em->server_count; i++)
     {
+      bl_handover_clear (&em->servers[i].handover);
       bl_passthrough_free (em->servers[i].core);
       em_server_clear (&em->servers[i]);
     }
--- a/emulator/emulator_faults.c
+++ b/emulator/emulator_faults.c
@@ -30,7 +30,17 @@
 void
 em_stop_agent (struct em *em, size_t server, uint64_t down_ms)
 {
-  bl_passthrough_stop (em->servers[server].core, em_core_now_ms (em));
+  struct em_server *s = &em->servers[server];
+  struct bl_handover handover;
+
+  bl_passthrough_stop (s->core, em_core_now_ms (em));
+  if (em_agent_reaches_store (s)
+      && bl_passthrough_hand_over (s->core, em_core_now_ms (em), &handover)
+             == BL_OK)
+    {
+      bl_handover_clear (&s->handover);
+      s->handover = handover;
+    }
   em_kill_agent (em, server, down_ms);
 }
 
--- a/emulator/emulator_inner.h
+++ b/emulator/emulator_inner.h
@@ -54,6 +54,7 @@
   struct em_process agent;
   struct bl_passthrough *core; /* owned */
   struct bl_record published;  /* the agent's record in the store */
+  struct bl_handover handover; /* owned; the agent's flow table there */
   bool alive;                  /* the backend server */
   uint64_t generation;         /* number of the backend server's starts */
   uint64_t start_time_ms;      /* time of day of the last start */
@@ -153,6 +154,8 @@
                      const struct bl_packet *packet,
                      bool returned,
                      uint32_t token);
+/* Returns true if the agent of S can call the platform's store.  */
+bool em_agent_reaches_store (const struct em_server *s);
 /* A new table of the current routes, to be freed or passed on; NULL when out of
    memory.  */
 struct bl_route_table *em_route_table (struct em *em);
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -4,7 +4,7 @@
    agent reports or the messages that it sends.  */
 
 #include "core/msg.h"
-#include "core/passthrough.h"
+#include "test/single_agent.h"
 
 #include <setjmp.h>
 #include <stdarg.h>
@@ -18,91 +18,6 @@
 #define INCARNATION  100000 /* milliseconds since 1970 */
 #define QUERIED_ACK  51     /* acknowledgement number of owner queries */
 
-/* Results of the operations that the agent has called.  */
-struct observed
-{
-  unsigned delivered;
-  unsigned checks;
-  struct bl_link_msg last; /* message to a balancer */
-  struct bl_record published;
-};
-
-static void
-count_delivery (void *ctx, const uint8_t *packet, size_t len, uint32_t token)
-{
-  (void)packet;
-  (void)len;
-  (void)token;
-  ((struct observed *)ctx)->delivered++;
-}
-
-static void
-ignore_answer (void *ctx, uint32_t ip, const uint8_t *packet, size_t len)
-{
-  (void)ctx;
-  (void)ip;
-  (void)packet;
-  (void)len;
-}
-
-static void
-record_to_balancer (void *ctx,
-                    struct bl_addr to,
-                    const struct bl_link_msg *link,
-                    const uint8_t *packet,
-                    size_t len)
-{
-  (void)to;
-  (void)packet;
-  (void)len;
-  ((struct observed *)ctx)->last = *link;
-}
-
-static void
-ignore_send (void *ctx, struct bl_addr to, const uint8_t *buf, size_t len)
-{
-  (void)ctx;
-  (void)to;
-  (void)buf;
-  (void)len;
-}
-
-static void
-count_check (void *ctx)
-{
-  ((struct observed *)ctx)->checks++;
-}
-
-static void
-record_published (void *ctx, const struct bl_record *record)
-{
-  ((struct observed *)ctx)->published = *record;
-}
-
-static void
-ignore_decision (void *ctx,
-                 const char *event_name,
-                 const char *reason,
-                 const struct bl_flow_key *flow,
-                 uint64_t age_ms)
-{
-  (void)ctx;
-  (void)event_name;
-  (void)reason;
-  (void)flow;
-  (void)age_ms;
-}
-
-static const struct bl_passthrough_ops ops = {
-  .deliver = count_delivery,
-  .send_to_caller = ignore_answer,
-  .send_to_balancer = record_to_balancer,
-  .send = ignore_send,
-  .check = count_check,
-  .publish = record_published,
-  .log_decision = ignore_decision,
-};
-
 static struct bl_passthrough *
 new_agent_without_tick (struct observed *observed)
 {
@@ -115,7 +30,7 @@
   bl_name_set (&settings.self.id, bl_str_of ("a"));
   bl_name_set (&settings.self.dc, bl_str_of ("dc"));
   bl_name_set (&settings.self.service, bl_str_of ("s"));
-  return bl_passthrough_new (&settings, &ops, observed);
+  return bl_passthrough_new (&settings, &single_agent_ops, observed);
 }
 
 static struct bl_passthrough *
