Owner queries are repeated only on news of the agent

Cause: lookups that outlast a restart repeated their queries every 60 ms to each agent that had sent any message since. On a full link replies are later than that, so the queries filled it further; the same holds for the query of all services after 60 ms.

Ruled out: the flow table handover (taken over; the flows failed in lookups), lists of agents.

Change: a query is repeated when the agent announces a new record, or with the caller's next packet if it was heard of since. The query of all services waits four mean reply times longer.

--- a/core/dispatch_lookup.c
+++ b/core/dispatch_lookup.c
@@ -38,7 +38,8 @@
 #define LOOKUP_TIMEOUT_MS 180 /* callers retransmit after 200 ms */
 /* If agents of the route's services have not replied by then, the agents of all
    other services are queried; their replies arrive before LOOKUP_TIMEOUT_MS. */
-#define ROUTE_TIMEOUT_MS 60
+#define ROUTE_TIMEOUT_MS   60
+#define ROUTE_REPLY_FACTOR 4 /* mean reply times added to it */
 /* A lookup ends without result if it lasts longer.  Callers send a packet again
    after 1.6 s at most.  */
 #define LOOKUP_MAX_MS   2000
@@ -119,20 +120,31 @@
     send_query (d, f, &f->lookup.queried[f->lookup.count - 1]);
 }
 
+/* Returns true if AGENT was heard of since it was queried, or only if it has
+   announced a new record if ANNOUNCED is set, as after a restart.  */
+static bool
+was_heard (const struct bl_queried_agent *queried, bool announced)
+{
+  const struct bl_instance *agent = queried->instance;
+
+  return agent->record_ms > queried->query_ms
+         || (!announced && agent->last_message_ms > queried->query_ms);
+}
+
 /* Queries agents again that have not replied, or could not tell, and were heard
    of since: they have restarted, or a message was lost.  */
 static void
-repeat_queries (struct bl_dispatch *d, struct bl_tracked_flow *f)
+repeat_queries (struct bl_dispatch *d,
+                struct bl_tracked_flow *f,
+                bool announced)
 {
   for (size_t i = 0; i < f->lookup.count; i++)
     {
       struct bl_queried_agent *queried = &f->lookup.queried[i];
-      const struct bl_instance *agent = queried->instance;
       bool undecided = queried->reply == BL_REPLY_NONE
                        || queried->reply == BL_REPLY_INCOMPLETE;
-      bool heard = agent->last_message_ms > queried->query_ms
-                   || agent->record_ms > queried->query_ms;
-      if (undecided && heard && may_hold_flows (agent)
+      if (undecided && was_heard (queried, announced)
+          && may_hold_flows (queried->instance)
           && d->now - queried->query_ms >= QUERY_REPEAT_MS)
         send_query (d, f, queried);
     }
@@ -243,10 +255,13 @@
                       struct bl_tracked_flow *f,
                       const struct bl_raw_packet *raw)
 {
-  if (!f->lookup.paused && is_same_flow (raw->packet->ack, f->lookup.ack))
-    bl_tracked_flow_hold (f, raw);
-  else
-    bl_lookup_start (d, f, raw);
+  if (f->lookup.paused || !is_same_flow (raw->packet->ack, f->lookup.ack))
+    {
+      bl_lookup_start (d, f, raw);
+      return;
+    }
+  bl_tracked_flow_hold (f, raw);
+  repeat_queries (d, f, false);
 }
 
 /* The first agent whose reply is outstanding, for the log.  */
@@ -595,6 +610,15 @@
     drop_held (d, f, "no_answer");
 }
 
+/* Returns after which time the agents of all services are queried, although
+   some of the route's have not replied.  It is longer while all replies are
+   slow, as on a full link, which more queries would only fill.  */
+static double
+route_timeout_ms (const struct bl_dispatch *d)
+{
+  return ROUTE_TIMEOUT_MS + ROUTE_REPLY_FACTOR * d->fleet.reply_ms;
+}
+
 void
 bl_lookup_check_timeouts (struct bl_dispatch *d, struct bl_tracked_flow *f)
 {
@@ -602,7 +626,7 @@
   uint64_t elapsed_ms = d->now - lookup->started_ms;
 
   close_left_probes (lookup);
-  repeat_queries (d, f);
+  repeat_queries (d, f, true);
   if (lookup->open_probes > 0)
     {
       if (d->now - lookup->last_probe_ms > PROBE_TIMEOUT_MS)
@@ -614,7 +638,7 @@
       advance (d, f);
       return;
     }
-  if (!lookup->only_offered && elapsed_ms > ROUTE_TIMEOUT_MS)
+  if (!lookup->only_offered && (double)elapsed_ms > route_timeout_ms (d))
     query_further (d, f);
   /* An agent with an incomplete flow table may own the flow even if other
      agents have not replied.  */
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -240,8 +240,7 @@
 
 /* -- end of a process -- */
 
-#define CLOSING_MAX_MS 800 /* until the process ends, whatever is not closed   \
-                            */
+#define CLOSING_MAX_MS 800 /* until the process ends all the same */
 
 /* Closes what a role has opened, on a thread of its own.  */
 struct closing;
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -1493,7 +1493,8 @@
 announce_agent (struct bl_dispatch *d,
                 uint64_t now,
                 uint32_t ip,
-                enum bl_instance_state agent_state)
+                enum bl_instance_state agent_state,
+                uint64_t incarnation)
 {
   struct bl_record r = {
     .kind = BL_KIND_BACKEND,
@@ -1501,7 +1502,7 @@
     .ip = ip,
     .data_port = 1,
     .control_port = 2,
-    .incarnation = 1,
+    .incarnation = incarnation,
     .seq = 2,
   };
   char name[16];
@@ -1536,7 +1537,7 @@
       break;
     default:
       announce_agent (d, s->now, s->ip,
-                      s->event == LEFT ? BL_STATE_LEFT : BL_STATE_STARTING);
+                      s->event == LEFT ? BL_STATE_LEFT : BL_STATE_STARTING, 1);
       break;
     }
 }
@@ -1598,11 +1599,13 @@
     }
 }
 
-/* Plays the restart until END_MS; the agent replies again from BACK_MS on.  */
+/* Plays the restart until END_MS; the agent replies again from BACK_MS on, and
+   then announces a new start if RESTARTED is set.  */
 static void
 play_restart (struct bl_dispatch *d,
               struct observed *observed,
               uint64_t back_ms,
+              bool restarted,
               uint64_t end_ms)
 {
   static const uint64_t sent_ms[] = { 0, 200, 600, 1400, 3000, 4600 };
@@ -1620,6 +1623,8 @@
         }
       if (ms >= back_ms)
         send_agent_status (d, now, 11, 0);
+      if (ms == back_ms && restarted)
+        announce_agent (d, now, 11, BL_STATE_READY, 2);
       for (uint32_t ip = 12; ip < 15; ip++)
         send_agent_status (d, now, ip, 0);
       bl_dispatch_tick (d, now);
@@ -1637,13 +1642,15 @@
 {
   const char *name;
   uint64_t back_ms;
+  bool restarted;
   uint64_t end_ms;
   unsigned packets; /* sent to any agent until then */
   unsigned visited; /* servers that do not hold the flow */
 } restarts[] = {
-  { "one packet at a stranger within two seconds", 9000, 1990, 1, 1 },
-  { "the next one at another stranger", 9000, 3990, 2, 2 },
-  { "a returning agent gets the held packet at once", 800, 1000, 2, 1 },
+  { "one packet at a stranger within two seconds", 9000, true, 1990, 1, 1 },
+  { "the next one at another stranger", 9000, true, 3990, 2, 2 },
+  { "a returning agent gets the held packet at once", 800, true, 1000, 2, 1 },
+  { "one whose query was lost gets it with the next", 100, false, 300, 2, 1 },
 };
 
 static void
@@ -1659,8 +1666,9 @@
       for (uint32_t ip = 11; ip < 15; ip++)
         add_agent (d, 10000, ip, "s");
       bl_dispatch_list_complete (d, 10000);
-      announce_agent (d, VISIT_START_MS - 10, 11, BL_STATE_STARTING);
-      play_restart (d, &observed, restarts[i].back_ms, restarts[i].end_ms);
+      announce_agent (d, VISIT_START_MS - 10, 11, BL_STATE_STARTING, 1);
+      play_restart (d, &observed, restarts[i].back_ms, restarts[i].restarted,
+                    restarts[i].end_ms);
       for (unsigned k = 0; k < observed.packets && k < 16; k++)
         visited[observed.packet_ips[k]] = true;
       for (uint32_t ip = 12; ip < 15; ip++)
