A server that has just started is waited for before a reset

Cause: a balancer that had started half a second before knew of the owner's agent only that it had no server. It did not ask that agent; all others denied the flow, and the three peers compared with did not know of the start either.

Ruled out: a wrong denial (the owner was not asked); a table taken over (there was none).

Change: an agent without a server announces that it is dead instead of left. Within 1.5 s of such a record no flow is reset for the denials of all others.

--- a/core/dispatch_lookup.c
+++ b/core/dispatch_lookup.c
@@ -333,14 +333,30 @@
   return query_all (d, f) > 0;
 }
 
+/* Returns true if the lookup ends, whatever is outstanding.  */
+static bool
+is_overdue (const struct bl_dispatch *d,
+            const struct bl_dispatch_owner_lookup *lookup)
+{
+  uint64_t max_ms = lookup->only_offered ? LOOKUP_TIMEOUT_MS : LOOKUP_MAX_MS;
+
+  return d->now - lookup->started_ms > max_ms;
+}
+
 /* Handles a lookup in which no agent owns the flow.  The owner may be an agent
-   of which only other balancers hold the record.  */
+   of which only other balancers hold the record, or one whose server has just
+   started and of which this balancer knows only that it had none.  */
 static void
 on_none_owns (struct bl_dispatch *d, struct bl_tracked_flow *f)
 {
   if (!f->held_payload || !bl_fleet_is_connected (&d->fleet)
       || !bl_dispatch_has_all_agents (d))
     drop_held (d, f, "denied_by_all");
+  else if (d->fleet.returning_count > 0)
+    {
+      if (is_overdue (d, &f->lookup))
+        drop_held (d, f, "server_may_return");
+    }
   else if (bl_compare_confirmed (d, f->phase_start_ms) && query_all (d, f) == 0)
     bl_dispatch_reset_flow (d, f, BL_DISPATCH_LOST, "denied_by_all");
 }
@@ -556,16 +572,6 @@
       }
 }
 
-/* Returns true if the lookup ends, whatever is outstanding.  */
-static bool
-is_overdue (const struct bl_dispatch *d,
-            const struct bl_dispatch_owner_lookup *lookup)
-{
-  uint64_t max_ms = lookup->only_offered ? LOOKUP_TIMEOUT_MS : LOOKUP_MAX_MS;
-
-  return d->now - lookup->started_ms > max_ms;
-}
-
 /* Handles the only probe that was not returned in time, when all other agents
    have denied the flow.  An agent that was heard of since would have returned
    the packet, so it is presumed to be the owner.  Any other one may have
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -226,6 +226,16 @@
   update_tables (fleet, older);
 }
 
+/* Returns true if the server of INSTANCE died, or was not there, so recently
+   that the record of its next start may be on its way.  */
+static bool
+may_return (const struct bl_instance *instance, uint64_t now)
+{
+  return instance->record.kind == BL_KIND_BACKEND
+         && instance->record.state == BL_STATE_DEAD
+         && now - instance->record_ms < BL_RETURN_SPREAD_MS;
+}
+
 struct bl_instance *
 bl_fleet_apply_record (struct bl_fleet *fleet,
                        uint64_t now,
@@ -254,6 +264,8 @@
     instance->warm_up_start_ms = now;
   if (record->state < BL_STATE_LEFT)
     retire_older (fleet, instance);
+  else if (may_return (instance, now))
+    fleet->returning_count++;
   update_tables (fleet, instance);
   return instance->record.state < BL_STATE_LEFT ? instance : NULL;
 }
@@ -308,6 +320,7 @@
   instance->suspect = unanswered_ms > BL_SUSPECT_MS;
   instance->unreachable = (double)unanswered_ms
                           > BL_UNREACHABLE_MS + REPLY_FACTOR * fleet->reply_ms;
+  fleet->returning_count += may_return (instance, now) ? 1 : 0;
   if (instance->record.kind != BL_KIND_BACKEND
       || instance->record.state >= BL_STATE_LEFT)
     return;
@@ -357,6 +370,7 @@
   fleet->unreachable_count = 0;
   fleet->suspect_count = 0;
   fleet->responsive_count = 0;
+  fleet->returning_count = 0;
   HASH_ITER (hh, fleet->instances, instance, next)
   update_reachability (fleet, instance, now);
   fleet->isolated = fleet->suspect_count > 0
--- a/core/passthrough_backend.c
+++ b/core/passthrough_backend.c
@@ -187,7 +187,7 @@
   if (pass->stopping)
     return;
   if (pass->self.state == BL_STATE_STARTING)
-    bl_passthrough_set_state (pass, BL_STATE_LEFT, "no_backend");
+    bl_passthrough_set_state (pass, BL_STATE_DEAD, "no_backend");
   if (pass->self.state >= BL_STATE_LEFT)
     return;
   bl_passthrough_remove_flows (pass);
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -1682,6 +1682,64 @@
     }
 }
 
+/* Guards against the reset of a flow that was placed at a server which has just
+   started: this balancer knows only that the server's agent had none, and all
+   other agents deny the flow.  The record of the start must be waited for, but
+   not for an agent whose server has left for good.  */
+static const struct
+{
+  const char *name;
+  enum bl_instance_state agent_state; /* of agent 12, as known at first */
+  uint64_t record_ms;
+  uint64_t back_ms;      /* its record of the start arrives; 0: never */
+  uint64_t not_reset_ms; /* the flow is not reset until then */
+  uint64_t reset_ms;     /* it is reset by then; 0: never */
+} returns[] = {
+  { "the server has started", BL_STATE_DEAD, 11000, 11400, 13000, 0 },
+  { "it died, and stays away", BL_STATE_DEAD, 11000, 0, 12400, 12600 },
+  { "it died long before", BL_STATE_DEAD, 10000, 0, 0, 11550 },
+  { "it has left", BL_STATE_LEFT, 11000, 0, 0, 11150 },
+};
+
+static void
+test_server_that_returns (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof returns / sizeof returns[0]; i++)
+    {
+      struct observed observed = { .resets = 0 };
+      struct bl_dispatch *d = new_balancer (&observed);
+      uint64_t sent_ms = returns[i].record_ms == 11000 ? 11100 : 11500;
+      uint64_t reset_ms = 0;
+      add_agent (d, 9000, 11, "s");
+      add_agent (d, 9000, 12, "s");
+      bl_dispatch_list_complete (d, 9000);
+      for (uint64_t now = 9010; now < 13000; now += 10)
+        {
+          if (now == returns[i].record_ms)
+            announce_agent (d, now, 12, returns[i].agent_state, 1);
+          if (now == returns[i].back_ms)
+            announce_agent (d, now, 12, BL_STATE_READY, 2);
+          if (now == sent_ms)
+            send_data (d, now);
+          send_agent_reply (d, now, 11, BL_LINK_NOT_OWNED);
+          if (returns[i].back_ms != 0 && now > returns[i].back_ms + 10)
+            send_agent_reply (d, now, 12, BL_LINK_OWNED);
+          bl_dispatch_tick (d, now);
+          if (observed.resets > 0 && reset_ms == 0)
+            reset_ms = now;
+        }
+      printf ("%s: reset at %lu\n", returns[i].name, reset_ms);
+      if (returns[i].reset_ms == 0)
+        assert_int_equal (observed.resets, 0);
+      else
+        assert_in_range (reset_ms, returns[i].not_reset_ms,
+                         returns[i].reset_ms);
+      assert_int_equal (observed.packets, returns[i].back_ms != 0 ? 1 : 0);
+      bl_dispatch_free (d);
+    }
+}
+
 /* Guards against callers that wait for an unreachable owner, and against resets
    by an isolated balancer: the owner of a flow stops replying.  While the other
    agents reply, it counts as unreachable and the flow is reset; when they stop
@@ -1756,6 +1814,7 @@
     cmocka_unit_test (test_agents_told_of_idle_time),
     cmocka_unit_test (test_owner_by_elimination),
     cmocka_unit_test (test_few_strangers_during_restart),
+    cmocka_unit_test (test_server_that_returns),
     cmocka_unit_test (test_routes_confirmed),
     cmocka_unit_test (test_likely_owners_first),
     cmocka_unit_test (test_denials_of_complete_list),
