Silence without notice does not limit probes

Cause: while any agent had not answered, one packet in two seconds was sent as a probe. That is right for an agent that has announced a restart and is back within a second. A killed one announces nothing, and all others are incomplete.

Change: probes are limited only while an agent that announced a restart, or that was queried a moment ago, has not answered.

--- a/core/dispatch_lookup.c
+++ b/core/dispatch_lookup.c
@@ -44,9 +44,9 @@
    after 1.6 s at most.  */
 #define LOOKUP_MAX_MS   2000
 #define QUERY_REPEAT_MS 60 /* at least, between two queries to an agent */
-/* While an agent that may own the flow has not replied, one packet at most is
-   sent as a probe within this time: a flow counts as broken after several
-   packets at other servers while none reaches its own.  */
+/* While an agent that may own the flow restarts, one packet at most is sent as
+   a probe within this time: a flow counts as broken after several packets at
+   other servers while none reaches its own.  */
 #define PROBE_INTERVAL_MS 2000
 #define OPEN_PROBES_MAX   6   /* agents that have the packet at the same time */
 #define PROBE_TIMEOUT_MS  50  /* a backend server returns a packet within it */
@@ -397,16 +397,23 @@
   return true;
 }
 
-/* Returns true if the owner, unless it is gone, is one of the agents whose flow
-   tables are incomplete.  */
+/* Returns true if an agent that has announced a restart, or was queried a
+   moment ago, has not replied.  It is back soon, unlike one that is silent
+   without notice.  */
 static bool
-is_owner_among_incomplete (const struct bl_dispatch *d,
-                           const struct bl_dispatch_owner_lookup *lookup)
+awaits_restart (const struct bl_dispatch *d,
+                const struct bl_dispatch_owner_lookup *lookup)
 {
-  if (!all_answered (d, lookup))
-    return false;
-  return lookup->only_offered
-         || (lookup->all_services && bl_dispatch_has_all_agents (d));
+  for (size_t i = 0; i < lookup->count; i++)
+    {
+      const struct bl_queried_agent *queried = &lookup->queried[i];
+      bool restarting = queried->instance->record.state == BL_STATE_STARTING
+                        && !bl_instance_is_gone (queried->instance, d->now);
+      if (queried->reply == BL_REPLY_NONE
+          && (restarting || d->now - queried->query_ms < QUERY_REPEAT_MS))
+        return true;
+    }
+  return false;
 }
 
 /* Returns the record of probes for the flow that the caller's packets belong
@@ -454,7 +461,7 @@
 static size_t
 open_probes_max (const struct bl_dispatch *d, const struct bl_tracked_flow *f)
 {
-  if (is_owner_among_incomplete (d, &f->lookup))
+  if (!awaits_restart (d, &f->lookup))
     return OPEN_PROBES_MAX;
   if (f->probes != NULL && f->probes->sent_ms != 0
       && d->now - f->probes->sent_ms < PROBE_INTERVAL_MS)
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -1641,16 +1641,21 @@
 static const struct
 {
   const char *name;
+  bool announced; /* the stop of the agent */
   uint64_t back_ms;
   bool restarted;
   uint64_t end_ms;
   unsigned packets; /* sent to any agent until then */
   unsigned visited; /* servers that do not hold the flow */
 } restarts[] = {
-  { "one packet at a stranger within two seconds", 9000, true, 1990, 1, 1 },
-  { "the next one at another stranger", 9000, true, 3990, 2, 2 },
-  { "a returning agent gets the held packet at once", 800, true, 1000, 2, 1 },
-  { "one whose query was lost gets it with the next", 100, false, 300, 2, 1 },
+  { "one packet at a stranger within two seconds", true, 9000, true, 1990, 1,
+    1 },
+  { "the next one at another stranger", true, 9000, true, 3990, 2, 2 },
+  { "a returning agent gets the held packet at once", true, 800, true, 1000, 2,
+    1 },
+  { "one whose query was lost gets it with the next", true, 100, false, 300, 2,
+    1 },
+  { "silence without notice holds up nobody", false, 9000, true, 300, 3, 3 },
 };
 
 static void
@@ -1666,7 +1671,8 @@
       for (uint32_t ip = 11; ip < 15; ip++)
         add_agent (d, 10000, ip, "s");
       bl_dispatch_list_complete (d, 10000);
-      announce_agent (d, VISIT_START_MS - 10, 11, BL_STATE_STARTING, 1);
+      if (restarts[i].announced)
+        announce_agent (d, VISIT_START_MS - 10, 11, BL_STATE_STARTING, 1);
       play_restart (d, &observed, restarts[i].back_ms, restarts[i].restarted,
                     restarts[i].end_ms);
       for (unsigned k = 0; k < observed.packets && k < 16; k++)
