Agents whose server died are asked before a reset

Cause: a wait cannot tell a server that has just started from one that is gone; asking its agent can. The resets came from a lookup that had denials of all but the agents to which, while another one had just left, the packet was not sent yet.

Change: agents whose server died stay known and are queried; only a reset waits for their reply, for 60 ms and four mean reply times; a claim outweighs an earlier record of a death. A reset needs the denial of every agent. Probes are limited only in the first two seconds of an announced restart. A new record makes a query due at once.

Tests: test_server_that_returns, test_reset_needs_every_denial and test_dead_agent_delays_nothing fail before; the first replaces the bounds of the wait. test_few_strangers_during_restart: its first window ends 10 ms earlier, two seconds after the announcement, and the second case now wants all others tried after that. All mutations of these modules noticed but one: without the clause for agents that cannot tell in is_undecided no test fails, since nothing else reaches it any more.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -251,14 +251,16 @@
 
 /* -- packets -- */
 
-/* Returns true when the backend server that owned F has restarted or has
-   left.  */
+/* Returns true when the backend server that owned F has restarted, died or
+   left. A claim of the owner outweighs an earlier record of a death.  */
 static bool
 owner_is_gone (const struct bl_tracked_flow *f)
 {
   const struct bl_instance *owner = f->owner;
 
-  if (owner->record.state >= BL_STATE_LEFT)
+  if (owner->record.state == BL_STATE_LEFT
+      || (owner->record.state == BL_STATE_DEAD
+          && owner->record_ms >= f->phase_start_ms))
     return true;
   return f->owner_backend_start != 0 && owner->backend_start != 0
          && f->owner_backend_start != owner->backend_start;
--- a/core/dispatch_lookup.c
+++ b/core/dispatch_lookup.c
@@ -36,30 +36,31 @@
 #include <stdlib.h>
 
 #define LOOKUP_TIMEOUT_MS 180 /* callers retransmit after 200 ms */
-/* If agents of the route's services have not replied by then, the agents of all
-   other services are queried; their replies arrive before LOOKUP_TIMEOUT_MS. */
-#define ROUTE_TIMEOUT_MS   60
-#define ROUTE_REPLY_FACTOR 4 /* mean reply times added to it */
+/* An agent replies within it, plus some mean reply times.  If agents of the
+   route's services do not, the agents of all other services are queried.  */
+#define REPLY_TIMEOUT_MS 60
+#define REPLY_FACTOR     4
 /* A lookup ends without result if it lasts longer.  Callers send a packet again
    after 1.6 s at most.  */
 #define LOOKUP_MAX_MS   2000
-#define QUERY_REPEAT_MS 60 /* at least, between two queries to an agent */
+#define QUERY_REPEAT_MS 60 /* until a query that got lost is repeated */
 /* While an agent that may own the flow restarts, one packet at most is sent as
    a probe within this time: a flow counts as broken after several packets at
    other servers while none reaches its own.  */
 #define PROBE_INTERVAL_MS 2000
+#define RESTART_USUAL_MS  2000 /* an agent that restarts is back within it */
 #define OPEN_PROBES_MAX   6   /* agents that have the packet at the same time */
 #define PROBE_TIMEOUT_MS  50  /* a backend server returns a packet within it */
 #define RANKED_AGENTS_MAX 512 /* of a service; any others come after them */
 #define ACK_WINDOW        (1u << 20) /* span of a flow's sequence numbers */
 
 /* Returns true if the backend server of AGENT may hold flows: it has not left,
-   and no other instance has taken over its address.  Such an agent's replies
-   are not received any more.  */
+   and no other instance has taken over its address.  An agent whose server died
+   is queried, since the server may have started again.  */
 static bool
 may_hold_flows (const struct bl_instance *agent)
 {
-  return agent->record.state < BL_STATE_LEFT;
+  return agent->record.state != BL_STATE_LEFT;
 }
 
 static bool
@@ -145,7 +146,7 @@
                        || queried->reply == BL_REPLY_INCOMPLETE;
       if (undecided && was_heard (queried, announced)
           && may_hold_flows (queried->instance)
-          && d->now - queried->query_ms >= QUERY_REPEAT_MS)
+          && (announced || d->now - queried->query_ms >= QUERY_REPEAT_MS))
         send_query (d, f, queried);
     }
 }
@@ -333,6 +334,62 @@
   return query_all (d, f) > 0;
 }
 
+/* Returns true if the reply of QUERIED is outstanding and may still come.  */
+static bool
+is_awaited (const struct bl_dispatch *d, const struct bl_queried_agent *queried)
+{
+  return queried->reply == BL_REPLY_NONE && may_hold_flows (queried->instance)
+         && !bl_instance_is_gone (queried->instance, d->now);
+}
+
+/* Returns true when all queried agents, except those that are gone, have
+   replied.  An agent whose server died probably owns nothing, so only a reset
+   waits for it.  */
+static bool
+all_answered (const struct bl_dispatch *d,
+              const struct bl_dispatch_owner_lookup *lookup)
+{
+  for (size_t i = 0; i < lookup->count; i++)
+    if (is_awaited (d, &lookup->queried[i])
+        && lookup->queried[i].instance->record.state != BL_STATE_DEAD)
+      return false;
+  return true;
+}
+
+/* Returns the time within which an agent that runs replies to a query.  It is
+   longer while all replies are slow, as on a full link, which more queries
+   would only fill.  */
+static double
+reply_timeout_ms (const struct bl_dispatch *d)
+{
+  return REPLY_TIMEOUT_MS + REPLY_FACTOR * d->fleet.reply_ms;
+}
+
+/* Returns true if the agent of QUERIED may still deny the flow, or claim it.
+   One whose server died is given the usual time for a reply only.  */
+static bool
+is_undecided (const struct bl_dispatch *d,
+              const struct bl_queried_agent *queried)
+{
+  if (queried->reply == BL_REPLY_INCOMPLETE)
+    return may_hold_flows (queried->instance);
+  return is_awaited (d, queried)
+         && (queried->instance->record.state != BL_STATE_DEAD
+             || (double)(d->now - queried->query_ms) <= reply_timeout_ms (d));
+}
+
+/* Returns true if each agent whose server may hold the flow has denied it, or
+   is gone.  */
+static bool
+is_denied_by_all (const struct bl_dispatch *d,
+                  const struct bl_dispatch_owner_lookup *lookup)
+{
+  for (size_t i = 0; i < lookup->count; i++)
+    if (is_undecided (d, &lookup->queried[i]))
+      return false;
+  return true;
+}
+
 /* Returns true if the lookup ends, whatever is outstanding.  */
 static bool
 is_overdue (const struct bl_dispatch *d,
@@ -343,20 +400,21 @@
   return d->now - lookup->started_ms > max_ms;
 }
 
-/* Handles a lookup in which no agent owns the flow.  The owner may be an agent
-   of which only other balancers hold the record, or one whose server has just
-   started and of which this balancer knows only that it had none.  */
+/* Handles a lookup in which no agent has claimed the flow.  The owner may be an
+   agent that could not be sent the packet yet, or one of which only other
+   balancers hold the record.  */
 static void
 on_none_owns (struct bl_dispatch *d, struct bl_tracked_flow *f)
 {
-  if (!f->held_payload || !bl_fleet_is_connected (&d->fleet)
-      || !bl_dispatch_has_all_agents (d))
-    drop_held (d, f, "denied_by_all");
-  else if (d->fleet.returning_count > 0)
+  if (!is_denied_by_all (d, &f->lookup))
     {
       if (is_overdue (d, &f->lookup))
-        drop_held (d, f, "server_may_return");
+        drop_held (d, f, "no_answer");
+      return;
     }
+  if (!f->held_payload || !bl_fleet_is_connected (&d->fleet)
+      || !bl_dispatch_has_all_agents (d))
+    drop_held (d, f, "denied_by_all");
   else if (bl_compare_confirmed (d, f->phase_start_ms) && query_all (d, f) == 0)
     bl_dispatch_reset_flow (d, f, BL_DISPATCH_LOST, "denied_by_all");
 }
@@ -383,20 +441,6 @@
   bl_tracked_flow_set_owner (d, f, owner, backend_start);
 }
 
-/* Returns true when all queried agents, except those that are gone, have
-   replied.  */
-static bool
-all_answered (const struct bl_dispatch *d,
-              const struct bl_dispatch_owner_lookup *lookup)
-{
-  for (size_t i = 0; i < lookup->count; i++)
-    if (lookup->queried[i].reply == BL_REPLY_NONE
-        && may_hold_flows (lookup->queried[i].instance)
-        && !bl_instance_is_gone (lookup->queried[i].instance, d->now))
-      return false;
-  return true;
-}
-
 /* Returns true if an agent that has announced a restart, or was queried a
    moment ago, has not replied.  It is back soon, unlike one that is silent
    without notice.  */
@@ -407,10 +451,12 @@
   for (size_t i = 0; i < lookup->count; i++)
     {
       const struct bl_queried_agent *queried = &lookup->queried[i];
-      bool restarting = queried->instance->record.state == BL_STATE_STARTING
-                        && !bl_instance_is_gone (queried->instance, d->now);
-      if (queried->reply == BL_REPLY_NONE
-          && (restarting || d->now - queried->query_ms < QUERY_REPEAT_MS))
+      const struct bl_instance *agent = queried->instance;
+      bool restarting = agent->record.state == BL_STATE_STARTING
+                        && d->now - agent->record_ms < RESTART_USUAL_MS;
+      bool just_queried = agent->record.state != BL_STATE_DEAD
+                          && d->now - queried->query_ms < QUERY_REPEAT_MS;
+      if (is_awaited (d, queried) && (restarting || just_queried))
         return true;
     }
   return false;
@@ -623,15 +669,6 @@
     drop_held (d, f, "no_answer");
 }
 
-/* Returns after which time the agents of all services are queried, although
-   some of the route's have not replied.  It is longer while all replies are
-   slow, as on a full link, which more queries would only fill.  */
-static double
-route_timeout_ms (const struct bl_dispatch *d)
-{
-  return ROUTE_TIMEOUT_MS + ROUTE_REPLY_FACTOR * d->fleet.reply_ms;
-}
-
 void
 bl_lookup_check_timeouts (struct bl_dispatch *d, struct bl_tracked_flow *f)
 {
@@ -651,7 +688,7 @@
       advance (d, f);
       return;
     }
-  if (!lookup->only_offered && (double)elapsed_ms > route_timeout_ms (d))
+  if (!lookup->only_offered && (double)elapsed_ms > reply_timeout_ms (d))
     query_further (d, f);
   /* An agent with an incomplete flow table may own the flow even if other
      agents have not replied.  */
--- a/core/dispatch_members.c
+++ b/core/dispatch_members.c
@@ -195,7 +195,7 @@
     bool has_update
         = d->update_pending && instance->record.kind == BL_KIND_BALANCER;
     bool isolation_probe;
-    if (instance->record.state >= BL_STATE_LEFT)
+    if (instance->record.state == BL_STATE_LEFT)
       continue;
     isolation_probe = is_isolation_probe (d, instance, &isolation_probes_left);
     if (has_update || must_tell (d, instance)
--- a/core/fleet.c
+++ b/core/fleet.c
@@ -159,11 +159,13 @@
   agents->items[agents->count++] = instance;
 }
 
-/* Updates both tables from the record of INSTANCE.  */
+/* Updates both tables from the record of INSTANCE.  An agent whose server died
+   stays in them: the server may have started again, and the agent owns flows by
+   the time that its record arrives here.  */
 static void
 update_tables (struct bl_fleet *fleet, struct bl_instance *instance)
 {
-  if (instance->record.state >= BL_STATE_LEFT)
+  if (instance->record.state == BL_STATE_LEFT)
     {
       remove_address (fleet, &instance->data_entry);
       remove_address (fleet, &instance->control_entry);
@@ -226,16 +228,6 @@
   update_tables (fleet, older);
 }
 
-/* Returns true if the server of INSTANCE died, or was not there, so recently
-   that the record of its next start may be on its way.  */
-static bool
-may_return (const struct bl_instance *instance, uint64_t now)
-{
-  return instance->record.kind == BL_KIND_BACKEND
-         && instance->record.state == BL_STATE_DEAD
-         && now - instance->record_ms < BL_RETURN_SPREAD_MS;
-}
-
 struct bl_instance *
 bl_fleet_apply_record (struct bl_fleet *fleet,
                        uint64_t now,
@@ -262,10 +254,8 @@
   instance->service = bl_name_hash (&record->service, 0);
   if (record->state == BL_STATE_READY && instance->warm_up_start_ms == 0)
     instance->warm_up_start_ms = now;
-  if (record->state < BL_STATE_LEFT)
+  if (record->state != BL_STATE_LEFT)
     retire_older (fleet, instance);
-  else if (may_return (instance, now))
-    fleet->returning_count++;
   update_tables (fleet, instance);
   return instance->record.state < BL_STATE_LEFT ? instance : NULL;
 }
@@ -320,7 +310,6 @@
   instance->suspect = unanswered_ms > BL_SUSPECT_MS;
   instance->unreachable = (double)unanswered_ms
                           > BL_UNREACHABLE_MS + REPLY_FACTOR * fleet->reply_ms;
-  fleet->returning_count += may_return (instance, now) ? 1 : 0;
   if (instance->record.kind != BL_KIND_BACKEND
       || instance->record.state >= BL_STATE_LEFT)
     return;
@@ -370,7 +359,6 @@
   fleet->unreachable_count = 0;
   fleet->suspect_count = 0;
   fleet->responsive_count = 0;
-  fleet->returning_count = 0;
   HASH_ITER (hh, fleet->instances, instance, next)
   update_reachability (fleet, instance, now);
   fleet->isolated = fleet->suspect_count > 0
--- a/core/fleet.h
+++ b/core/fleet.h
@@ -17,7 +17,7 @@
   UT_hash_handle hh;
 };
 
-/* The agents of a service, except those that have left or died.  */
+/* The agents of a service, except those that have left.  */
 struct bl_service_agents
 {
   uint64_t service; /* hash of the service's name */
@@ -69,11 +69,6 @@
    long after its last message, or the receipt of its record.  */
 #define BL_RESTART_MAX_MS 8000
 
-/* The record of an agent whose server has started arrives within this time
-   after the record of its death.  A longer absence is no reason to wait for it.
- */
-#define BL_RETURN_SPREAD_MS 1500
-
 struct bl_fleet
 {
   struct bl_store *store;              /* owned */
@@ -86,8 +81,6 @@
   size_t suspect_count;
   size_t responsive_count; /* not suspect, message within BL_UNREACHABLE_MS */
   double reply_ms;         /* mean time until a message follows a request */
-  size_t returning_count;  /* may have a server again, see
-                              BL_RETURN_SPREAD_MS */
   bool isolated;           /* this process seems cut off from the network */
 };
 
