Stopping balancers leave rotation within two thirds of the grace period

Cause: two balancers of a data centre that stop together each wait for others to become ready, 3.3 s at most, and the routers need up to 1.5 s more.

Ruled out: closing (the processes had not begun to leave).

Change: they wait for two thirds of the grace period less 1.5 s, 2.5 s of 6.

--- a/core/dispatch.h
+++ b/core/dispatch.h
@@ -152,6 +152,10 @@
    centre's balancers are ready, the routers also send to those that are not, so
    a balancer that drains has to go on until enough others are ready.  */
 bool bl_dispatch_may_leave (const struct bl_dispatch *d);
+/* Returns the time after the start of a stop, in milliseconds, at which a
+   balancer leaves whether it may or not.  GRACE_MS is the time until the
+   process is killed.  */
+uint64_t bl_dispatch_latest_leave_ms (uint64_t grace_ms);
 /* Returns the record of this balancer itself; its state is starting, ready or
    draining.  */
 const struct bl_record *bl_dispatch_own_record (const struct bl_dispatch *d);
--- a/core/dispatch_state.c
+++ b/core/dispatch_state.c
@@ -15,7 +15,9 @@
 
 #define LIST_SETTLE_MS        300  /* after the store's list was read */
 #define ROUTES_CONFIRM_MAX_MS 1000 /* for the comparison of routes */
-#define START_SETTLE_MS       10000 /* after a start; records have spread by then */
+/* Routers ask twice a second, and stop sending after two misses.  */
+#define OUT_OF_ROTATION_MS 1500
+#define START_SETTLE_MS    10000 /* after a start; records have spread by then */
 
 static const char *const counter_names[] = {
   [BL_DISPATCH_FORWARDED] = "packets_forwarded",
@@ -216,6 +218,17 @@
   return ready == 0 || 2 * ready >= all;
 }
 
+/* Balancers that stop together wait for each other.  Each is out of rotation
+   after two thirds of its grace period; the rest is for packets under way, for
+   closing, and for slow machines.  */
+uint64_t
+bl_dispatch_latest_leave_ms (uint64_t grace_ms)
+{
+  uint64_t out_ms = grace_ms * 2 / 3;
+
+  return out_ms > OUT_OF_ROTATION_MS ? out_ms - OUT_OF_ROTATION_MS : 0;
+}
+
 const struct bl_record *
 bl_dispatch_own_record (const struct bl_dispatch *d)
 {
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -42,12 +42,9 @@
 /* A balancer that reports that it is not ready continues for LEAVING_MIN_MS, in
    which the routers detect that state, and then until no packet has come for
    LEAVING_QUIET_MS, so that the routers have stopped sending to it.  */
-#define LEAVING_MIN_MS   1300
-#define LEAVING_QUIET_MS 500
-/* Parts of the grace period that are reserved for an orderly leave, and for
-   ending the threads.  */
-#define LEAVE_MARGIN_MS     2700
-#define EXIT_MARGIN_MS      1000
+#define LEAVING_MIN_MS      1300
+#define LEAVING_QUIET_MS    500
+#define EXIT_MARGIN_MS      1000 /* before the end of the grace period */
 #define BYTES_PER_S_OF_MBPS 125000
 #define GRACE_DEFAULT_S     6 /* if --stop-grace-s is 0 */
 
@@ -484,7 +481,7 @@
 }
 
 /* Advances a graceful stop.  The balancer stays ready until the core allows it
-   to leave, or until LEAVE_MARGIN_MS before the end of the grace period.  It
+   to leave, or until it must.  It
    then reports that it is not ready.  All else is closed when the routers have
    stopped sending packets, or EXIT_MARGIN_MS before the end of the grace
    period; the event loop ends after that.  */
@@ -501,7 +498,7 @@
     return;
   if (d->leaving_ms == 0
       && (bl_dispatch_may_leave (d->core)
-          || waited + LEAVE_MARGIN_MS >= grace_ms))
+          || waited >= bl_dispatch_latest_leave_ms (grace_ms)))
     {
       d->leaving_ms = now;
       io_log (IO_INFO, "leaving", "id=%s waited_ms=%lu", d->settings->id.s,
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -1203,6 +1203,23 @@
     }
 }
 
+/* Guards against balancers that stop together and wait for each other until
+   they are still in rotation when the grace period is nearly over.  */
+static void
+test_latest_leave (void **state)
+{
+  static const struct
+  {
+    uint64_t grace_ms;
+    uint64_t leave_ms;
+  } table[] = { { 6000, 2500 }, { 9000, 4500 }, { 3000, 500 }, { 2000, 0 } };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof table / sizeof table[0]; i++)
+    assert_int_equal (bl_dispatch_latest_leave_ms (table[i].grace_ms),
+                      table[i].leave_ms);
+}
+
 /* Guards against a lookup that waits for a process that has ended: another
    instance has taken over its address, and the list of the store names both, in
    either order.  Only the instance with the higher incarnation must be queried,
@@ -1863,6 +1880,7 @@
     cmocka_unit_test (test_agent_returns),
     cmocka_unit_test (test_address_taken_over),
     cmocka_unit_test (test_balancers_leave_in_turn),
+    cmocka_unit_test (test_latest_leave),
     cmocka_unit_test (test_packets_held_during_lookup),
     cmocka_unit_test (test_port_reused_during_lookup),
     cmocka_unit_test (test_lookup_of_opening_flow),
