--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -481,10 +481,9 @@
 }
 
 /* Advances a graceful stop.  The balancer stays ready until the core allows it
-   to leave, or until it must.  It
-   then reports that it is not ready.  All else is closed when the routers have
-   stopped sending packets, or EXIT_MARGIN_MS before the end of the grace
-   period; the event loop ends after that.  */
+   to leave, or until it must.  It then reports that it is not ready.  All else
+   is closed when the routers have stopped sending packets, or EXIT_MARGIN_MS
+   before the end of the grace period; the event loop ends after that.  */
 static void
 advance_stop (struct dispatcher *d)
 {
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -883,11 +883,57 @@
   bl_passthrough_free (p);
 }
 
+/* Guards against the reset of open flows after a late heartbeat of an earlier
+   start of the server that is the first one after the agent's own restart: the
+   store tells which start the earlier process served.  Heartbeats that continue
+   at their interval are taken, since the clock may have been set back.  */
+static void
+test_late_first_heartbeat (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    uint64_t previous; /* start in the record; 0: none */
+    struct input inputs[3];
+    uint64_t want_start; /* 0: none */
+  } cases[] = {
+    { "late", 5000, { { HB_READY, 4000, 9 } }, 0 },
+    { "late, then the server's own",
+      5000,
+      { { HB_READY, 4000, 9 }, { HB_READY, 5000, 3 } },
+      5000 },
+    { "late, in one burst",
+      5000,
+      { { HB_READY, 4000, 9 }, { HB_READY, 4000, 9 } },
+      0 },
+    { "the clock was set back",
+      5000,
+      { { HB_READY, 4000, 1 }, { HB_READY, 4000, 2 } },
+      4000 },
+    { "a later start", 5000, { { HB_READY, 6000, 1 } }, 6000 },
+    { "no record", 0, { { HB_READY, 4000, 9 } }, 4000 },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct observed observed = { .delivered = 0 };
+      struct bl_passthrough *p = new_agent (&observed);
+      bl_passthrough_note_previous (p, cases[i].previous);
+      for (size_t k = 0; k < 3 && cases[i].inputs[k].kind != INPUT_END; k++)
+        pass_input (p, 10000 + 1000 * k, &cases[i].inputs[k]);
+      if (observed.published.backend_start != cases[i].want_start)
+        fail_msg ("%s: %lu", cases[i].name, observed.published.backend_start);
+      bl_passthrough_free (p);
+    }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_states),
+    cmocka_unit_test (test_late_first_heartbeat),
     cmocka_unit_test (test_store_era),
     cmocka_unit_test (test_first_packets),
     cmocka_unit_test (test_refuses_when_saturated),
