Resets are made in one place, on typed evidence

What callers may see: nothing; the decisions are the same.

Change: core/dispatch_reset.c makes all resets. Each states what it rests on, which instance it is about and since when. What an owner announced, or its silence, counts for flows that it has claimed only; denials count in a lookup; refusals for flows that have not opened. Otherwise `reset_withheld` is logged. age_ms of denied_by_all is now that of the lookup, it was 0.

--- a/core/dispatch.c
+++ b/core/dispatch.c
@@ -212,21 +212,6 @@
   d->ops.log_decision (d->ctx, &decision);
 }
 
-void
-bl_dispatch_reset_flow (struct bl_dispatch *d,
-                        struct bl_tracked_flow *f,
-                        enum bl_dispatch_counter counter,
-                        const char *reason)
-{
-  uint64_t owner_last_ms = f->owner != NULL ? f->owner->last_message_ms : 0;
-
-  d->counters[counter]++;
-  bl_dispatch_log_decision (d, "reset", reason, &f->key, f->owner,
-                            owner_last_ms > 0 ? d->now - owner_last_ms : 0);
-  d->ops.reset (d->ctx, &f->key, f->last_ack);
-  bl_tracked_flow_remove (d, f);
-}
-
 void
 bl_dispatch_forward (struct bl_dispatch *d,
                      const struct bl_tracked_flow *f,
@@ -266,6 +251,21 @@
          && f->owner_backend_start != owner->backend_start;
 }
 
+/* Resets F because its owner is gone or silent.  */
+static void
+reset_for_owner (struct bl_dispatch *d,
+                 struct bl_tracked_flow *f,
+                 enum bl_evidence_kind kind)
+{
+  const struct bl_reset_evidence evidence = {
+    .kind = kind,
+    .instance = f->owner,
+    .since_ms = f->owner->last_message_ms,
+  };
+
+  bl_dispatch_reset_flow (d, f, &evidence);
+}
+
 static void
 handle_open (struct bl_dispatch *d,
              struct bl_tracked_flow *f,
@@ -277,7 +277,7 @@
       if (f->owner_presumed)
         bl_lookup_start (d, f, raw);
       else if (raw->packet->payload_len > 0)
-        bl_dispatch_reset_flow (d, f, BL_DISPATCH_LOST, "backend_gone");
+        reset_for_owner (d, f, BL_EVIDENCE_SERVER_GONE);
       return;
     }
   bl_dispatch_forward (d, f, f->owner, raw->ptr, raw->len);
@@ -330,6 +330,8 @@
 static void
 handle_no_route (struct bl_dispatch *d, const struct bl_raw_packet *raw)
 {
+  const struct bl_reset_evidence dropped
+      = { .kind = BL_EVIDENCE_ROUTE_DROPPED };
   struct bl_tracked_flow *f = bl_tracked_flow_find (d, &raw->packet->key);
   const struct bl_packet *p = raw->packet;
 
@@ -338,15 +340,13 @@
     return;
   if (f != NULL)
     {
-      bl_dispatch_reset_flow (d, f, BL_DISPATCH_REFUSED, "route_dropped");
+      bl_dispatch_reset_flow (d, f, &dropped);
       return;
     }
   /* A packet of an open flow may belong to a route that this balancer has not
      received yet.  */
-  if (!bl_packet_is_first (p))
-    return;
-  bl_dispatch_log_decision (d, "reset", "no_route", &p->key, NULL, 0);
-  d->ops.reset (d->ctx, &p->key, p->ack);
+  if (bl_packet_is_first (p))
+    bl_dispatch_reset_untracked (d, p);
 }
 
 void
@@ -518,15 +518,16 @@
 static void
 give_up (struct bl_dispatch *d, struct bl_tracked_flow *f)
 {
-  const char *reason
-      = f->owner->unreachable ? "backend_silent" : "backend_gone";
+  enum bl_evidence_kind kind = f->owner->unreachable ? BL_EVIDENCE_SERVER_SILENT
+                                                     : BL_EVIDENCE_SERVER_GONE;
 
   if (!f->owner_presumed)
     {
-      bl_dispatch_reset_flow (d, f, BL_DISPATCH_LOST, reason);
+      reset_for_owner (d, f, kind);
       return;
     }
-  bl_dispatch_log_decision (d, "owner_given_up", reason, &f->key, f->owner, 0);
+  bl_dispatch_log_decision (d, "owner_given_up", bl_evidence_name (kind),
+                            &f->key, f->owner, 0);
   bl_tracked_flow_remove (d, f);
 }
 
--- a/core/dispatch_inner.h
+++ b/core/dispatch_inner.h
@@ -236,11 +236,38 @@
 struct bl_dispatch_class *bl_dispatch_class_of (struct bl_dispatch *d,
                                                 const struct bl_flow_key *key,
                                                 uint64_t service);
-/* Resets the caller's connection, counts it under COUNTER and removes F.  */
-void bl_dispatch_reset_flow (struct bl_dispatch *d,
+
+/* dispatch_reset.c */
+/* Why a caller is reset.  */
+enum bl_evidence_kind
+{
+  BL_EVIDENCE_SERVER_GONE,   /* the owner announced that its server left, died
+                                or restarted */
+  BL_EVIDENCE_SERVER_SILENT, /* the owner does not reply, and others do */
+  BL_EVIDENCE_DENIALS,       /* no agent holds the flow */
+  BL_EVIDENCE_ROUTE_DROPPED, /* the routes in force lack its address and port */
+  BL_EVIDENCE_NO_ROUTE,      /* the same, for a first packet */
+  BL_EVIDENCE_ALL_REFUSED,   /* each agent that was offered the flow refused */
+  BL_EVIDENCE_NO_SERVER,     /* there is none to offer it to */
+  BL_EVIDENCE_LINK_FULL, /* this balancer's link has no room for new flows */
+};
+
+struct bl_reset_evidence
+{
+  enum bl_evidence_kind kind;
+  const struct bl_instance *instance; /* that it is about; NULL: none */
+  uint64_t since_ms; /* time of the event that it rests on; 0: now */
+};
+
+const char *bl_evidence_name (enum bl_evidence_kind kind);
+/* Resets the caller's connection and removes F.  Returns false and only logs if
+   EVIDENCE is not about F in its present state.  */
+bool bl_dispatch_reset_flow (struct bl_dispatch *d,
                              struct bl_tracked_flow *f,
-                             enum bl_dispatch_counter counter,
-                             const char *reason);
+                             const struct bl_reset_evidence *evidence);
+/* Resets a connection whose first packet P finds no route.  */
+void bl_dispatch_reset_untracked (struct bl_dispatch *d,
+                                  const struct bl_packet *p);
 
 /* dispatch_state.c */
 void bl_dispatch_update_state (struct bl_dispatch *d);
--- a/core/dispatch_lookup.c
+++ b/core/dispatch_lookup.c
@@ -406,6 +406,11 @@
 static void
 on_none_owns (struct bl_dispatch *d, struct bl_tracked_flow *f)
 {
+  const struct bl_reset_evidence evidence = {
+    .kind = BL_EVIDENCE_DENIALS,
+    .since_ms = f->phase_start_ms,
+  };
+
   if (!is_denied_by_all (d, &f->lookup))
     {
       if (is_overdue (d, &f->lookup))
@@ -416,7 +421,7 @@
       || !bl_dispatch_has_all_agents (d))
     drop_held (d, f, "denied_by_all");
   else if (bl_compare_confirmed (d, f->phase_start_ms) && query_all (d, f) == 0)
-    bl_dispatch_reset_flow (d, f, BL_DISPATCH_LOST, "denied_by_all");
+    bl_dispatch_reset_flow (d, f, &evidence);
 }
 
 static void
--- a/core/dispatch_place.c
+++ b/core/dispatch_place.c
@@ -107,10 +107,15 @@
    flow.  It only stops tracking the flow; the caller's next retransmission is
    placed anew.  */
 static void
-refuse (struct bl_dispatch *d, struct bl_tracked_flow *f, const char *reason)
+refuse (struct bl_dispatch *d,
+        struct bl_tracked_flow *f,
+        enum bl_evidence_kind kind)
 {
+  const struct bl_reset_evidence evidence
+      = { .kind = kind, .since_ms = f->phase_start_ms };
+
   if (bl_dispatch_ready (d))
-    bl_dispatch_reset_flow (d, f, BL_DISPATCH_REFUSED, reason);
+    bl_dispatch_reset_flow (d, f, &evidence);
   else
     bl_tracked_flow_remove (d, f);
 }
@@ -134,12 +139,12 @@
   if (!bl_link_budget_has_room (&d->link_budget, d->now))
     {
       d->counters[BL_DISPATCH_LINK_FULL]++;
-      refuse (d, f, "link_full");
+      refuse (d, f, BL_EVIDENCE_LINK_FULL);
       return;
     }
   bl_tracked_flow_hold (f, raw);
   if (!bl_placement_offer_next (d, f))
-    refuse (d, f, "no_backend");
+    refuse (d, f, BL_EVIDENCE_NO_SERVER);
 }
 
 /* Returns true when no offer is open and none was accepted.  */
@@ -183,7 +188,7 @@
   if (find_accepted (f) != NULL || bl_placement_offer_next (d, f))
     return;
   if (all_refused (f))
-    refuse (d, f, "all_refused");
+    refuse (d, f, BL_EVIDENCE_ALL_REFUSED);
 }
 
 struct bl_offer *
