Returned packets are compared by their own number

Found by reading: what an agent returned was looked up under the number of the lookup, which is 0 while the flow is open. The same agent could then take several of the eight places, and others would not be remembered.

Change: the number of the packet is passed. The head of dispatch_lookup.c says what lookups do now.

--- a/core/dispatch_lookup.c
+++ b/core/dispatch_lookup.c
@@ -22,9 +22,12 @@
    moment after its start and is checked against a few other balancers.  A reply
    of an agent holds for one acknowledgement number: a packet with a number far
    from it belongs to another flow of the same port and starts the lookup anew.
-   An agent that stopped in order to restart is waited for.  If any agent that
-   is not unreachable leaves its query unanswered, the lookup has no result and
-   the packet is dropped.
+   An agent that stopped in order to restart is waited for, and queried again
+   when it is back; until then few packets are sent as probes.  An agent whose
+   backend server died is queried too, but only a reset waits for its reply.  If
+   any agent that is not unreachable leaves its query unanswered for
+   LOOKUP_MAX_MS, the lookup has no result and the packet is dropped.  Which
+   agents returned packets is kept for the next lookup of the flow.
 
    A single agent that does not return its probe in time is presumed to be the
    owner if all others have denied the flow.  This is no evidence for a reset,
@@ -481,12 +484,16 @@
   return f->probes;
 }
 
+/* Returns true if AGENT returned a packet of the flow with acknowledgement
+   number ACK, and its backend server has not started anew since.  */
 static bool
-has_returned (const struct bl_tracked_flow *f, const struct bl_instance *agent)
+has_returned (const struct bl_tracked_flow *f,
+              const struct bl_instance *agent,
+              uint32_t ack)
 {
   const struct bl_flow_probes *probes = f->probes;
 
-  if (probes == NULL || !is_same_flow (f->lookup.ack, probes->ack))
+  if (probes == NULL || !is_same_flow (ack, probes->ack))
     return false;
   for (size_t i = 0; i < probes->returned_count; i++)
     if (probes->returned[i].instance == agent
@@ -502,7 +509,7 @@
 {
   struct bl_flow_probes *probes = get_probes (f, ack);
 
-  if (probes != NULL && !has_returned (f, from)
+  if (probes != NULL && !has_returned (f, from, ack)
       && probes->returned_count < BL_RETURNED_MAX)
     probes->returned[probes->returned_count++]
         = (struct bl_returned_by){ from, from->backend_start };
@@ -587,9 +594,10 @@
   if (queried == NULL || link->ack != lookup->ack)
     return;
   if (queried->reply == BL_REPLY_NONE || queried->reply == BL_REPLY_INCOMPLETE)
-    queried->reply = link->type == BL_LINK_NOT_OWNED || has_returned (f, from)
-                         ? BL_REPLY_NOT_OWNED
-                         : BL_REPLY_INCOMPLETE;
+    queried->reply
+        = link->type == BL_LINK_NOT_OWNED || has_returned (f, from, lookup->ack)
+              ? BL_REPLY_NOT_OWNED
+              : BL_REPLY_INCOMPLETE;
   advance (d, f);
 }
 
