--- a/test/process_handover.sh
+++ b/test/process_handover.sh
@@ -31,7 +31,7 @@
 wait "${PID_OF[planned]}" || fail "planned: $(cat "$RUN/planned.out")"
 kept planned
 [ "$(result planned answered)" = 4800 ] || fail "planned: $(tail -1 "$RUN/planned.out")"
-grep -h "event=not_held" "$RUN"/w?-agent.out && fail "packets visited strangers"
+grep -h "event=not_held" "$RUN"/w?-agent.out && fail "packets of open flows were probed"
 
 # An agent that is killed leaves nothing, and its next process must not take an
 # older table for its own.
--- a/test/process_stop.sh
+++ b/test/process_stop.sh
@@ -1,6 +1,6 @@
 #!/bin/bash
 # process_stop.sh -- balancers and agents end within their grace period after
-# SIGTERM, whatever their peers hold open, and agents pass packets meanwhile
+# SIGTERM, whatever their peers hold open and whether the store answers or not
 #
 # STOPS is the number of rounds, in which each role is stopped eight times.
 
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -1666,8 +1666,7 @@
   unsigned packets; /* sent to any agent until then */
   unsigned visited; /* servers that do not hold the flow */
 } restarts[] = {
-  { "one packet at a stranger within two seconds", true, 9000, true, 1980, 1,
-    1 },
+  { "one probe within two seconds", true, 9000, true, 1980, 1, 1 },
   { "after two seconds all others are tried, each once", true, 9000, true, 3990,
     3, 3 },
   { "a returning agent gets the held packet at once", true, 800, true, 1000, 2,
@@ -1678,7 +1677,7 @@
 };
 
 static void
-test_few_strangers_during_restart (void **state)
+test_few_probes_during_restart (void **state)
 {
   (void)state;
   for (size_t i = 0; i < sizeof restarts / sizeof restarts[0]; i++)
@@ -1893,7 +1892,7 @@
     cmocka_unit_test (test_agents_told_of_era),
     cmocka_unit_test (test_agents_told_of_idle_time),
     cmocka_unit_test (test_owner_by_elimination),
-    cmocka_unit_test (test_few_strangers_during_restart),
+    cmocka_unit_test (test_few_probes_during_restart),
     cmocka_unit_test (test_server_that_returns),
     cmocka_unit_test (test_reset_needs_every_denial),
     cmocka_unit_test (test_dead_agent_delays_nothing),
--- a/test/test_handover.c
+++ b/test/test_handover.c
@@ -186,8 +186,8 @@
 };
 
 /* Guards against agents that know no flow after a planned restart, so that
-   packets of open flows are sent to strangers, and against the reset of flows
-   that are missing in a table of another process.  */
+   packets of open flows are sent to other servers, and against the reset of
+   flows that are missing in a table of another process.  */
 static void
 test_second_process (void **state)
 {
