Undecided owner queries wait for the flow table of the process before

Cause: between an agent's start and the store's answer, 40 to 60 ms, its table is incomplete.

Ruled out: the owner's own table (complete, its agent ran); the limit of probes, which ends as soon as the agent is back.

Change: a query that would be answered with "cannot tell" is held until the store was read, 300 ms at most.

test_undecided_query_waits fails without the change (by mutation, 2 lines).

--- a/core/passthrough.c
+++ b/core/passthrough.c
@@ -38,6 +38,9 @@
 #define MONITOR_TTL_MS      10000 /* a monitor is kept after its last request */
 #define MONITOR_SILENCE_MS  1500  /* without any request: contact the seeds */
 #define ACK_WINDOW          (1u << 20) /* sequence numbers */
+/* Queries are held for the flow table of the process before at most this long;
+   the store answers within some tens of milliseconds.  */
+#define HANDOVER_WAIT_MS 300
 
 static const char *const counter_names[] = {
   [BL_PASSTHROUGH_DELIVERED] = "packets_delivered",
@@ -67,6 +70,7 @@
   pass->self = settings->self;
   pass->self.state = BL_STATE_STARTING;
   pass->idle_ms = IDLE_DEFAULT_MS;
+  pass->handover_settled = !settings->expects_handover;
   return pass;
 }
 
@@ -548,6 +552,20 @@
                           pass->now - pass->started_ms);
 }
 
+/* Holds a query while the flow table of the process before may still arrive.
+   Returns false if it has to be answered now.  */
+static bool
+hold_query (struct bl_passthrough *pass,
+            struct bl_addr from,
+            const struct bl_link_msg *query)
+{
+  if (pass->handover_settled || pass->held_query_count == HELD_QUERIES_MAX)
+    return false;
+  pass->held_queries[pass->held_query_count++]
+      = (struct bl_held_query){ from, *query };
+  return true;
+}
+
 static void
 on_query (struct bl_passthrough *pass,
           struct bl_addr from,
@@ -564,7 +582,11 @@
       f->owner_reported = true;
     }
   else if (is_incomplete (pass) || (f != NULL && f->handed_over))
-    link.type = BL_LINK_INCOMPLETE;
+    {
+      if (hold_query (pass, from, query))
+        return;
+      link.type = BL_LINK_INCOMPLETE;
+    }
   else
     link.type = BL_LINK_NOT_OWNED;
   if (f != NULL && link.type != BL_LINK_OWNED)
@@ -575,6 +597,18 @@
   reply (pass, from, &link, NULL, 0);
 }
 
+void
+bl_passthrough_settle_handover (struct bl_passthrough *pass, uint64_t now)
+{
+  size_t count = pass->held_query_count;
+
+  pass->now = now;
+  pass->handover_settled = true;
+  pass->held_query_count = 0;
+  for (size_t i = 0; i < count; i++)
+    on_query (pass, pass->held_queries[i].from, &pass->held_queries[i].query);
+}
+
 void
 bl_passthrough_link (struct bl_passthrough *pass,
                      uint64_t now,
@@ -750,6 +784,8 @@
   if (pass->self.seq == 0 && now - pass->started_ms > START_ANNOUNCE_MS)
     bl_passthrough_announce (pass, "no_outcome_yet");
   bl_passthrough_check_backend (pass);
+  if (!pass->handover_settled && now - pass->started_ms > HANDOVER_WAIT_MS)
+    bl_passthrough_settle_handover (pass, now);
   if (now >= pass->next_sweep_ms)
     {
       pass->next_sweep_ms = now + SWEEP_INTERVAL_MS;
--- a/core/passthrough.h
+++ b/core/passthrough.h
@@ -19,6 +19,7 @@
   struct bl_record self; /* id, data centre, service, addresses, incarnation */
   uint64_t heartbeat_ms; /* interval of the backend server's heartbeats */
   uint32_t payload_max;  /* bytes in a full packet of a caller; 0: not known */
+  bool expects_handover; /* bl_passthrough_settle_handover will be called */
   size_t seed_count;
   struct bl_addr seeds[BL_SEEDS_MAX]; /* control addresses of balancers */
 };
@@ -165,6 +166,10 @@
                                const struct bl_handover *handover,
                                uint64_t previous,
                                uint64_t store_era);
+/* To be called when it is known that no flow table can be taken over, or when
+   it was.  Until then, for a moment at most, owner queries that cannot be
+   decided are not answered.  */
+void bl_passthrough_settle_handover (struct bl_passthrough *pass, uint64_t now);
 /* Returns the newest era of the platform's store that a balancer has told of; 0
    if none has.  */
 uint64_t bl_passthrough_store_era (const struct bl_passthrough *pass);
--- a/core/passthrough_inner.h
+++ b/core/passthrough_inner.h
@@ -37,6 +37,15 @@
   UT_hash_handle hh;
 };
 
+#define HELD_QUERIES_MAX 256
+
+/* An owner query that is answered when the handover is known.  */
+struct bl_held_query
+{
+  struct bl_addr from;
+  struct bl_link_msg query;
+};
+
 /* A balancer that requests status reports.  */
 struct bl_monitor
 {
@@ -75,6 +84,10 @@
   bool started_with_backend;
   bool previous_known; /* the store was read for that record */
   uint64_t previous_backend_start;
+  bool handover_settled; /* the store was read for the flow table of the process
+                            before, or nothing is expected from it */
+  size_t held_query_count;
+  struct bl_held_query held_queries[HELD_QUERIES_MAX];
   /* The flow table of the process before this one was taken over.  */
   bool taken_over;
   uint64_t taken_over_from;          /* incarnation of that process */
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -178,6 +178,8 @@
 bool registry_take_over (struct registry *registry,
                          struct bl_handover *out,
                          uint64_t *era);
+/* Returns true if no handover of an earlier process can be had any more.  */
+bool registry_is_taken_over (struct registry *registry);
 /* Notes that the store is in ERA, as heard from anybody.  If the record was
    written in an earlier one, it is checked and, if the store lacks it, written
    again.  */
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -51,7 +51,8 @@
   struct passthrough_socket outgoing; /* to and from the backend server */
   struct passthrough_socket control;  /* control messages */
   struct passthrough_socket check;    /* connection attempt; fd 0: none */
-  bool previous_noted; /* the core knows which server was served before */
+  bool previous_noted;   /* the core knows which server was served before */
+  bool handover_settled; /* the core knows what an earlier process left */
   uint64_t check_start_ms;
   uint64_t stopping_ms;    /* start of the graceful stop; 0: not stopping */
   struct closing *closing; /* NULL: not yet */
@@ -418,12 +419,18 @@
   struct bl_record previous;
   uint64_t era;
 
-  if (!registry_take_over (p->registry, &handover, &era))
+  if (p->handover_settled)
     return;
-  registry_previous (p->registry, &previous);
-  bl_passthrough_take_over (p->core, io_now_ms (), &handover,
-                            previous.incarnation, era);
-  bl_handover_clear (&handover);
+  if (registry_take_over (p->registry, &handover, &era))
+    {
+      registry_previous (p->registry, &previous);
+      bl_passthrough_take_over (p->core, io_now_ms (), &handover,
+                                previous.incarnation, era);
+      bl_handover_clear (&handover);
+    }
+  p->handover_settled = registry_is_taken_over (p->registry);
+  if (p->handover_settled)
+    bl_passthrough_settle_handover (p->core, io_now_ms ());
 }
 
 /* Returns true when the last messages have had time to reach the balancers and
@@ -509,6 +516,7 @@
     },
     .heartbeat_ms = s->heartbeat_ms,
     .payload_max = PLATFORM_PAYLOAD_MAX,
+    .expects_handover = true,
     .seed_count = s->seed_count,
   };
 
--- a/daemon/registry.c
+++ b/daemon/registry.c
@@ -413,6 +413,17 @@
   return loaded;
 }
 
+bool
+registry_is_taken_over (struct registry *registry)
+{
+  bool over;
+
+  pthread_mutex_lock (&registry->mutex);
+  over = registry->handover.reads_left == 0 && !registry->handover.loaded;
+  pthread_mutex_unlock (&registry->mutex);
+  return over;
+}
+
 void
 registry_note_era (struct registry *registry, uint64_t era)
 {
--- a/test/test_handover.c
+++ b/test/test_handover.c
@@ -29,11 +29,14 @@
 static const struct bl_addr balancer = { .ip = 9, .port = 1 };
 
 static struct bl_passthrough *
-new_agent (struct observed *observed, uint64_t incarnation)
+new_agent_that (struct observed *observed,
+                uint64_t incarnation,
+                bool expects_handover)
 {
   struct bl_passthrough_settings settings = {
     .self = { .kind = BL_KIND_BACKEND, .incarnation = incarnation },
     .heartbeat_ms = 1000,
+    .expects_handover = expects_handover,
   };
   struct bl_passthrough *p;
 
@@ -44,6 +47,12 @@
   return p;
 }
 
+static struct bl_passthrough *
+new_agent (struct observed *observed, uint64_t incarnation)
+{
+  return new_agent_that (observed, incarnation, false);
+}
+
 static void
 send_heartbeat (struct bl_passthrough *p, uint64_t now, uint64_t start)
 {
@@ -240,6 +249,54 @@
   free (text);
 }
 
+/* Guards against probes of all flows that wait for an agent which is back but
+   has not read the store yet: a query that it cannot decide is answered when it
+   has, or after 300 ms.  */
+static const struct
+{
+  const char *name;
+  bool left;           /* the process before left a table */
+  uint64_t settled_ms; /* the store was read; 0: not */
+  uint64_t silent_ms;  /* no answer until then */
+  uint64_t answer_ms;  /* an answer by then */
+  enum bl_link_type want;
+} waits[] = {
+  { "the table arrives", true, 50, 49, 50, BL_LINK_NOT_OWNED },
+  { "there is none", false, 50, 49, 50, BL_LINK_INCOMPLETE },
+  { "the store does not answer", false, 0, 290, 330, BL_LINK_INCOMPLETE },
+};
+
+static void
+test_undecided_query_waits (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < sizeof waits / sizeof waits[0]; i++)
+    {
+      struct observed observed = { .delivered = 0 };
+      struct bl_passthrough *p = new_agent_that (&observed, SECOND, true);
+      char *text = run_first (30000);
+      struct bl_handover handover;
+      assert_int_equal (bl_handover_parse (&handover, text), BL_OK);
+      send_heartbeat (p, 2, FIRST - 60000);
+      assert_int_equal (query (p, &observed, 3, FREE_PORT, OPEN_ACK, 0), 0);
+      for (uint64_t now = 10; now <= waits[i].answer_ms; now += 10)
+        {
+          if (now == waits[i].settled_ms && waits[i].left)
+            bl_passthrough_take_over (p, now, &handover, FIRST, ERA);
+          if (now == waits[i].settled_ms)
+            bl_passthrough_settle_handover (p, now);
+          bl_passthrough_tick (p, now);
+          if (now <= waits[i].silent_ms)
+            assert_int_equal (observed.last.type, 0);
+        }
+      if (observed.last.type != waits[i].want)
+        fail_msg ("%s: %d", waits[i].name, (int)observed.last.type);
+      bl_handover_clear (&handover);
+      bl_passthrough_free (p);
+      free (text);
+    }
+}
+
 /* An agent whose server has left has nothing to hand over.  */
 static void
 test_nothing_to_hand_over (void **state)
@@ -317,6 +374,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_second_process),
     cmocka_unit_test (test_server_confirms_flow),
+    cmocka_unit_test (test_undecided_query_waits),
     cmocka_unit_test (test_nothing_to_hand_over),
     cmocka_unit_test (test_texts),
   };
