The evidence of an agent's denials is typed and logged

Change: the reason is a value, enum bl_evidence, found in one place and logged when it changes (flow_table why=...). What an agent knows of earlier processes moved to core/passthrough_history.c, unchanged. The first check of the own record logs which server the record names. ONLY=REGEX runs some of the mutations.

--- a/core/passthrough.c
+++ b/core/passthrough.c
@@ -25,9 +25,6 @@
    of a check has arrived for this long.  */
 #define START_ANNOUNCE_MS 250
 #define IDLE_DEFAULT_MS   15000 /* until a balancer tells the idle time */
-/* The flow table counts as incomplete for the idle time and this long after the
-   start: by then every live flow has sent a packet.  */
-#define INCOMPLETE_MARGIN_MS 2000
 /* Entries without packets expire after the idle time and this long.  */
 #define FLOW_IDLE_MARGIN_MS 5000
 #define FLOW_CLOSED_MS      3000 /* the same after a FIN or RST */
@@ -74,8 +71,9 @@
   return pass;
 }
 
-static struct bl_passthrough_flow *
-find_flow (struct bl_passthrough *pass, const struct bl_flow_key *key)
+struct bl_passthrough_flow *
+bl_passthrough_find_flow (struct bl_passthrough *pass,
+                          const struct bl_flow_key *key)
 {
   struct bl_passthrough_flow *f;
 
@@ -83,10 +81,11 @@
   return f;
 }
 
-static struct bl_passthrough_flow *
-get_flow (struct bl_passthrough *pass, const struct bl_flow_key *key)
+struct bl_passthrough_flow *
+bl_passthrough_get_flow (struct bl_passthrough *pass,
+                         const struct bl_flow_key *key)
 {
-  struct bl_passthrough_flow *f = find_flow (pass, key);
+  struct bl_passthrough_flow *f = bl_passthrough_find_flow (pass, key);
 
   if (f == NULL)
     {
@@ -389,7 +388,7 @@
       refuse (pass, from, &packet->key, reason);
       return;
     }
-  f = get_flow (pass, &packet->key);
+  f = bl_passthrough_get_flow (pass, &packet->key);
   if (f == NULL)
     return;
   if (f->first_seq != packet->seq)
@@ -410,33 +409,6 @@
   deliver (pass, from, packet, bytes, len);
 }
 
-/* Returns for how much longer flows may be missing here that the backend server
-   holds because they are older than this process.  In milliseconds; 0: none are
-   missing.  */
-static uint64_t
-incomplete_ms (const struct bl_passthrough *pass)
-{
-  uint64_t total_ms = pass->taken_over ? pass->taken_over_incomplete_ms
-                                       : pass->idle_ms + INCOMPLETE_MARGIN_MS;
-  uint64_t running_ms;
-
-  if (pass->self.state >= BL_STATE_LEFT || pass->backend_left
-      || pass->backend_start_seen)
-    return 0;
-  if (pass->started_with_backend && pass->previous_known
-      && pass->previous_backend_start != pass->backend_start)
-    return 0;
-  /* A message may arrive before the first tick.  */
-  running_ms = pass->started_ms != 0 ? pass->now - pass->started_ms : 0;
-  return running_ms < total_ms ? total_ms - running_ms : 0;
-}
-
-static bool
-is_incomplete (const struct bl_passthrough *pass)
-{
-  return incomplete_ms (pass) > 0;
-}
-
 /* Handles payload of a caller.  A request takes a slot of the backend server
    when it has arrived completely: while a long one arrives, its packets carry
    the most payload that a packet can hold.  A copy of a packet that arrived
@@ -480,14 +452,14 @@
                  const uint8_t *bytes,
                  size_t len)
 {
-  struct bl_passthrough_flow *f = find_flow (pass, &packet->key);
+  struct bl_passthrough_flow *f = bl_passthrough_find_flow (pass, &packet->key);
 
   /* The flow may be older than this process.  If the backend server answers the
      packet, the balancer that sent it is notified; if the server returns it,
      the entry is removed.  */
-  if (f == NULL && is_incomplete (pass))
+  if (f == NULL && bl_passthrough_evidence (pass) == BL_EVIDENCE_NONE)
     {
-      f = get_flow (pass, &packet->key);
+      f = bl_passthrough_get_flow (pass, &packet->key);
       if (f != NULL)
         {
           set_class (pass, f, class);
@@ -538,20 +510,6 @@
                      len);
 }
 
-/* Handles the incarnation under which a balancer knows this agent.  If that is
-   a process between the one whose flow table was taken over and this one, flows
-   that it accepted are missing.  */
-static void
-note_process_between (struct bl_passthrough *pass, uint64_t incarnation)
-{
-  if (!pass->taken_over || incarnation <= pass->taken_over_from
-      || incarnation == pass->self.incarnation)
-    return;
-  pass->taken_over = false;
-  pass->ops.log_decision (pass->ctx, "handover_void", "process_between", NULL,
-                          pass->now - pass->started_ms);
-}
-
 /* Holds a query while the flow table of the process before may still arrive.
    Returns false if it has to be answered now.  */
 static bool
@@ -571,17 +529,18 @@
           struct bl_addr from,
           const struct bl_link_msg *query)
 {
-  struct bl_passthrough_flow *f = find_flow (pass, &query->key);
+  struct bl_passthrough_flow *f = bl_passthrough_find_flow (pass, &query->key);
   struct bl_link_msg link = { .key = query->key, .ack = query->ack };
 
-  note_process_between (pass, query->incarnation);
+  bl_passthrough_note_process_between (pass, query->incarnation);
   if (f != NULL && matches_ack (f, query->ack))
     {
       link.type = BL_LINK_OWNED;
       f->balancer = from;
       f->owner_reported = true;
     }
-  else if (is_incomplete (pass) || (f != NULL && f->handed_over))
+  else if (bl_passthrough_evidence (pass) == BL_EVIDENCE_NONE
+           || (f != NULL && f->handed_over))
     {
       if (hold_query (pass, from, query))
         return;
@@ -666,7 +625,7 @@
 note_outgoing (struct bl_passthrough *pass, const struct bl_packet *packet)
 {
   const uint8_t both = BL_TCP_SYN | BL_TCP_ACK;
-  struct bl_passthrough_flow *f = get_flow (pass, &packet->key);
+  struct bl_passthrough_flow *f = bl_passthrough_get_flow (pass, &packet->key);
   struct bl_link_msg link = { .type = BL_LINK_OWNED, .key = packet->key };
 
   if (f == NULL)
@@ -713,7 +672,7 @@
                          const uint8_t *bytes,
                          size_t len)
 {
-  struct bl_passthrough_flow *f = find_flow (pass, &packet->key);
+  struct bl_passthrough_flow *f = bl_passthrough_find_flow (pass, &packet->key);
   struct bl_addr balancer = { .port = 0 };
 
   pass->now = now;
@@ -848,7 +807,7 @@
   if (msg.store_era > pass->store_era)
     pass->store_era = msg.store_era;
   note_idle_time (pass, &msg);
-  note_process_between (pass, msg.incarnation);
+  bl_passthrough_note_process_between (pass, msg.incarnation);
   supersede (pass, &msg);
   send_status (pass, from,
                msg.seq != pass->self.seq
@@ -867,90 +826,6 @@
   bl_passthrough_set_state (pass, BL_STATE_STARTING, "stopping");
 }
 
-void
-bl_passthrough_note_previous (struct bl_passthrough *pass, uint64_t start)
-{
-  pass->previous_known = true;
-  pass->previous_backend_start = start;
-}
-
-int
-bl_passthrough_hand_over (struct bl_passthrough *pass,
-                          uint64_t now,
-                          struct bl_handover *out)
-{
-  size_t count = HASH_COUNT (pass->flows);
-  struct bl_passthrough_flow *f;
-  struct bl_passthrough_flow *next;
-
-  pass->now = now;
-  *out = (struct bl_handover){ .incarnation = pass->self.incarnation };
-  if (bl_passthrough_has_no_backend (pass))
-    return BL_ENOTFOUND;
-  if (count > BL_HANDOVER_FLOWS_MAX)
-    return BL_ERANGE;
-  out->incomplete_ms = incomplete_ms (pass);
-  out->flows = calloc (count + 1, sizeof *out->flows);
-  if (out->flows == NULL)
-    return BL_ENOMEM;
-  HASH_ITER (hh, pass->flows, f, next)
-  out->flows[out->count++] = (struct bl_handover_flow){
-    .key = f->key,
-    .first_seq = f->first_seq,
-    .next_seq = f->next_seq,
-    .next_seq_known = f->next_seq_known,
-    .established = f->established,
-    .closed = f->closed,
-  };
-  return BL_OK;
-}
-
-/* Adds a flow of an earlier process, unless its packets told this one more.  */
-static void
-take_over_flow (struct bl_passthrough *pass,
-                const struct bl_handover_flow *flow)
-{
-  struct bl_passthrough_flow *f = find_flow (pass, &flow->key);
-
-  if (f != NULL && f->next_seq_known)
-    return;
-  f = get_flow (pass, &flow->key);
-  if (f == NULL)
-    return;
-  f->first_seq = flow->first_seq;
-  f->next_seq = flow->next_seq;
-  f->next_seq_known = flow->next_seq_known;
-  f->established = f->established || flow->established;
-  f->closed = f->closed || flow->closed;
-  f->handed_over = true;
-}
-
-bool
-bl_passthrough_take_over (struct bl_passthrough *pass,
-                          uint64_t now,
-                          const struct bl_handover *handover,
-                          uint64_t previous,
-                          uint64_t store_era)
-{
-  bool valid = handover->incarnation != 0 && handover->incarnation == previous
-               && handover->store_era == store_era;
-
-  pass->now = now;
-  pass->ops.log_decision (pass->ctx, valid ? "taken_over" : "handover_ignored",
-                          handover->store_era != store_era ? "other_era"
-                          : valid                          ? "last_process"
-                                                           : "other_process",
-                          NULL, handover->incomplete_ms);
-  if (!valid)
-    return false;
-  for (size_t i = 0; i < handover->count; i++)
-    take_over_flow (pass, &handover->flows[i]);
-  pass->taken_over = true;
-  pass->taken_over_from = handover->incarnation;
-  pass->taken_over_incomplete_ms = handover->incomplete_ms;
-  return true;
-}
-
 uint64_t
 bl_passthrough_store_era (const struct bl_passthrough *pass)
 {
--- a/core/passthrough_backend.c
+++ b/core/passthrough_backend.c
@@ -9,12 +9,11 @@
 
 #include "core/passthrough_inner.h"
 
-#define ANSWER_TIMEOUT_MS       150  /* without an answer until a check */
-#define CHECK_INTERVAL_MS       250  /* between two checks */
-#define START_CHECK_INTERVAL_MS 100  /* the same while it is STARTING */
-#define START_CHECKS_MAX        20   /* checks made while it is STARTING */
-#define MISSED_HEARTBEATS       3    /* missed heartbeats until a check */
-#define SAME_START_MS           1500 /* between two starts after a power loss */
+#define ANSWER_TIMEOUT_MS       150 /* without an answer until a check */
+#define CHECK_INTERVAL_MS       250 /* between two checks */
+#define START_CHECK_INTERVAL_MS 100 /* the same while it is STARTING */
+#define START_CHECKS_MAX        20  /* checks made while it is STARTING */
+#define MISSED_HEARTBEATS       3   /* missed heartbeats until a check */
 
 /* Handles the replacement of the server by another process, which holds none of
    the open flows.  */
@@ -78,41 +77,6 @@
          && heartbeat->seq <= pass->heartbeat_seq && heartbeat->seq != 0;
 }
 
-/* Returns true if the backend server, by the first heartbeat received from it,
-   started not more than SLACK_MS before this process.  The clock may have been
-   set between the two starts, so the heartbeat's sequence number must agree: a
-   server that has sent many heartbeats is older.  */
-static bool
-is_younger (const struct bl_passthrough *pass,
-            const struct bl_heartbeat *heartbeat,
-            uint64_t slack_ms)
-{
-  uint64_t running_ms
-      = pass->started_ms != 0 ? pass->now - pass->started_ms : 0;
-  uint64_t sent_in_ms = heartbeat->seq > 1
-                            ? (heartbeat->seq - 1) * pass->settings.heartbeat_ms
-                            : 0;
-
-  return heartbeat->backend_start + slack_ms > pass->settings.self.incarnation
-         && sent_in_ms
-                <= running_ms + slack_ms + pass->settings.heartbeat_ms / 2;
-}
-
-/* Notes what the first heartbeat tells about flows that are older than this
-   process.  A server that started after it has got all its packets from it. One
-   that is a little older may hold flows that an earlier process of this agent
-   delivered.  */
-static void
-note_start_of_backend (struct bl_passthrough *pass,
-                       const struct bl_heartbeat *heartbeat)
-{
-  if (heartbeat->backend_start == 0)
-    return;
-  if (is_younger (pass, heartbeat, 0))
-    pass->backend_start_seen = true;
-  pass->started_with_backend = is_younger (pass, heartbeat, SAME_START_MS);
-}
-
 int
 bl_passthrough_heartbeat (struct bl_passthrough *pass,
                           uint64_t now,
@@ -144,7 +108,7 @@
     {
       pass->backend = heartbeat->id;
       pass->backend_start = heartbeat->backend_start;
-      note_start_of_backend (pass, heartbeat);
+      bl_passthrough_note_start_of_backend (pass, heartbeat);
     }
   pass->counters[BL_PASSTHROUGH_HEARTBEATS]++;
   pass->heartbeat_seq = heartbeat->seq;
--- a/core/passthrough_inner.h
+++ b/core/passthrough_inner.h
@@ -46,6 +46,17 @@
   struct bl_link_msg query;
 };
 
+/* What shows that no flow is missing in the flow table.  */
+enum bl_evidence
+{
+  BL_EVIDENCE_NONE,       /* nothing does: flows may be missing */
+  BL_EVIDENCE_NO_SERVER,  /* the server has left or is dead */
+  BL_EVIDENCE_START_SEEN, /* no server ran, or it started after this process */
+  BL_EVIDENCE_RECORD,     /* the record of the process before */
+  BL_EVIDENCE_TABLE,      /* the table of the process before was taken over */
+  BL_EVIDENCE_IDLE_TIME,  /* every live flow has had a packet since */
+};
+
 /* A balancer that requests status reports.  */
 struct bl_monitor
 {
@@ -92,8 +103,9 @@
   bool taken_over;
   uint64_t taken_over_from;          /* incarnation of that process */
   uint64_t taken_over_incomplete_ms; /* see struct bl_handover */
-  uint64_t unanswered_since_ms;      /* oldest unanswered packet; 0: none */
-  bool check_requested; /* it returned a packet that it should accept */
+  enum bl_evidence logged_evidence;
+  uint64_t unanswered_since_ms; /* oldest unanswered packet; 0: none */
+  bool check_requested;         /* it returned a packet that it should accept */
   uint64_t last_check_ms;
   unsigned start_checks; /* checks made while STARTING */
   /* Balancers.  */
@@ -115,6 +127,14 @@
 };
 
 /* passthrough.c */
+struct bl_passthrough_flow *
+bl_passthrough_find_flow (struct bl_passthrough *pass,
+                          const struct bl_flow_key *key);
+/* Returns the flow of KEY, which is created if needed; NULL if the table is
+   full.  */
+struct bl_passthrough_flow *
+bl_passthrough_get_flow (struct bl_passthrough *pass,
+                         const struct bl_flow_key *key);
 void bl_passthrough_remove_flows (struct bl_passthrough *pass);
 /* Sends the changed record to all balancers and to the platform's store; REASON
    is for the log.  */
@@ -126,4 +146,20 @@
 /* passthrough_backend.c */
 void bl_passthrough_check_backend (struct bl_passthrough *pass);
 
+/* passthrough_history.c */
+/* Returns what shows that the flow table is complete, and logs a change.  */
+enum bl_evidence bl_passthrough_evidence (struct bl_passthrough *pass);
+/* Notes what the first heartbeat tells about flows that are older than this
+   process.  A server that started after it has got all its packets from it. One
+   that is a little older may hold flows that an earlier process of this agent
+   delivered.  */
+void
+bl_passthrough_note_start_of_backend (struct bl_passthrough *pass,
+                                      const struct bl_heartbeat *heartbeat);
+/* Handles the incarnation under which a balancer knows this agent.  If that is
+   a process between the one whose flow table was taken over and this one, flows
+   that it accepted are missing.  */
+void bl_passthrough_note_process_between (struct bl_passthrough *pass,
+                                          uint64_t incarnation);
+
 #endif
--- a/daemon/registry.c
+++ b/daemon/registry.c
@@ -175,8 +175,12 @@
   finding = bl_own_record_checked (o, io_now_ms (), era, stored.revision,
                                    stored.found ? &stored.record : NULL,
                                    &r->record);
-  io_log (IO_INFO, "record_checked", "era=%lu revision=%lu finding=%s", era,
-          stored.revision, bl_own_record_finding_name (finding));
+  io_log (IO_INFO, "record_checked",
+          "era=%lu revision=%lu finding=%s stored=%lu.%u state=%s "
+          "backend_start=%lu",
+          era, stored.revision, bl_own_record_finding_name (finding),
+          stored.record.incarnation, stored.record.seq,
+          bl_state_name (stored.record.state), stored.record.backend_start);
 }
 
 /* Parses the handover that the store holds; a visitor function of the store. */
--- a/test/mutations.sh
+++ b/test/mutations.sh
@@ -4,7 +4,7 @@
 # In a copy of the tree, each line of mutations.txt disables one mechanism by a
 # sed edit; the named test must then fail.  Prints one line for each mutation.
 # The exit status is 1 if a mutation is not detected, does not apply or does not
-# build.
+# build.  ONLY=REGEX: only the lines that match it.
 
 cd "$(dirname "$0")/.." || exit 1
 copy=$(mktemp -d)
@@ -41,6 +41,6 @@
 while IFS=$'\t' read -r name file edit test case; do
   [ -n "$name" ] && [ "${name:0:1}" != "#" ] &&
     mutate "$name" "$file" "$edit" "$test" "$case"
-done <test/mutations.txt
+done < <(grep -E "${ONLY:-.}" test/mutations.txt)
 echo "$passed passed, $failed failed"
 [ $failed = 0 ]
