A record that names no server is no evidence for a denial

Cause: the agent takes its empty flow table for complete if the store's record of its earlier process names another server. The earlier process became ready by an accepted connection and wrote its record before any heartbeat, with backend_start 0 for not known, which counted as another server. Change: the record of the process before is not read yet, absent, unclear or names a server; only absent and another server are evidence. An unreadable record is unclear; it counted as absent. Why it works: the first process writes its record before it accepts flows or has named no other server in it, so its next process finds it unclear. The new case of test_record_of_earlier_process fails without it (mutation).

--- a/core/passthrough.h
+++ b/core/passthrough.h
@@ -145,10 +145,11 @@
    balancers, unless the backend server has left or is dead, so that they wait
    for the agent's next start.  */
 void bl_passthrough_stop (struct bl_passthrough *pass, uint64_t now);
-/* Notes which backend server an earlier process of this agent served last,
-   according to its record in the platform's store: START is that server's
-   start; 0: there is no record, or it names none.  */
-void bl_passthrough_note_previous (struct bl_passthrough *pass, uint64_t start);
+/* Notes the agent's record that the platform's store held before this process
+   wrote its own: RECORD names the backend server that an earlier process served
+   last.  NULL: there is none.  All zero: it cannot be read.  */
+void bl_passthrough_note_previous (struct bl_passthrough *pass,
+                                   const struct bl_record *record);
 /* Copies the flow table for the next process of this agent into OUT, which must
    be released with bl_handover_clear.  To be called after bl_passthrough_stop,
    which ends the acceptance of flows.  Returns BL_ENOTFOUND if there is no
--- a/core/passthrough_backend.c
+++ b/core/passthrough_backend.c
@@ -67,7 +67,7 @@
   /* Before the first heartbeat, the record of an earlier process may name a
      later start of the server.  */
   if (pass->backend.len == 0)
-    return pass->previous_known && heartbeat->backend_start != 0
+    return heartbeat->backend_start != 0
            && heartbeat->backend_start < pass->previous_backend_start
            && !clock_was_set_back (pass, heartbeat);
   if (heartbeat->backend_start != 0
--- a/core/passthrough_history.c
+++ b/core/passthrough_history.c
@@ -30,11 +30,14 @@
 };
 
 /* Returns true if the store's record of the process before names another
-   server, or there is none.  */
+   server, or there is none.  A record that names no server is of a process that
+   had not heard from its server yet, which may be this one.  */
 static bool
 record_names_other_server (const struct bl_passthrough *pass)
 {
-  return pass->previous_known
+  if (pass->previous == BL_PREVIOUS_NONE)
+    return true;
+  return pass->previous == BL_PREVIOUS_SERVED
          && pass->previous_backend_start != pass->backend_start;
 }
 
@@ -111,10 +114,17 @@
 }
 
 void
-bl_passthrough_note_previous (struct bl_passthrough *pass, uint64_t start)
+bl_passthrough_note_previous (struct bl_passthrough *pass,
+                              const struct bl_record *record)
 {
-  pass->previous_known = true;
-  pass->previous_backend_start = start;
+  if (record == NULL)
+    {
+      pass->previous = BL_PREVIOUS_NONE;
+      return;
+    }
+  pass->previous
+      = record->backend_start != 0 ? BL_PREVIOUS_SERVED : BL_PREVIOUS_UNCLEAR;
+  pass->previous_backend_start = record->backend_start;
 }
 
 void
--- a/core/passthrough_inner.h
+++ b/core/passthrough_inner.h
@@ -57,6 +57,15 @@
   BL_EVIDENCE_IDLE_TIME,  /* every live flow has had a packet since */
 };
 
+/* What the store's record tells of the process before this one.  */
+enum bl_previous
+{
+  BL_PREVIOUS_UNKNOWN, /* the store was not read yet */
+  BL_PREVIOUS_NONE,    /* there was none: the store has no record */
+  BL_PREVIOUS_UNCLEAR, /* the record names no server, or cannot be read */
+  BL_PREVIOUS_SERVED,  /* it names the server that was served last */
+};
+
 /* A balancer that requests status reports.  */
 struct bl_monitor
 {
@@ -93,8 +102,8 @@
      of power.  That rules out older flows only if the record of the earlier
      process in the store names another server.  */
   bool started_with_backend;
-  bool previous_known; /* the store was read for that record */
-  uint64_t previous_backend_start;
+  enum bl_previous previous;
+  uint64_t previous_backend_start; /* 0 unless it is BL_PREVIOUS_SERVED */
   bool handover_settled; /* the store was read for the flow table of the process
                             before, or nothing is expected from it */
   size_t held_query_count;
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -163,9 +163,11 @@
 void registry_publish (struct registry *registry,
                        const struct bl_record *record);
 /* Stores in RECORD what the store held under this instance's name before the
-   first write, all zero if nothing.  Returns false until the store has been
-   read.  */
-bool registry_previous (struct registry *registry, struct bl_record *record);
+   first write, all zero if that is not a record, and in FOUND whether it held
+   anything.  Returns false until the store has been read.  */
+bool registry_previous (struct registry *registry,
+                        struct bl_record *record,
+                        bool *found);
 /* Writes HANDOVER, of which it takes ownership, before any other call.  */
 void registry_hand_over (struct registry *registry,
                          struct bl_handover *handover);
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -404,11 +404,12 @@
 note_previous (struct passthrough *p)
 {
   struct bl_record previous;
+  bool found;
 
-  if (p->previous_noted || !registry_previous (p->registry, &previous))
+  if (p->previous_noted || !registry_previous (p->registry, &previous, &found))
     return;
   p->previous_noted = true;
-  bl_passthrough_note_previous (p->core, previous.backend_start);
+  bl_passthrough_note_previous (p->core, found ? &previous : NULL);
 }
 
 /* Passes the flow table of an earlier process to the core, once it was read. */
@@ -417,13 +418,14 @@
 {
   struct bl_handover handover;
   struct bl_record previous;
+  bool found;
   uint64_t era;
 
   if (p->handover_settled)
     return;
   if (registry_take_over (p->registry, &handover, &era))
     {
-      registry_previous (p->registry, &previous);
+      registry_previous (p->registry, &previous, &found);
       bl_passthrough_take_over (p->core, io_now_ms (), &handover,
                                 previous.incarnation, era);
       bl_handover_clear (&handover);
--- a/daemon/registry.c
+++ b/daemon/registry.c
@@ -33,6 +33,14 @@
   struct bl_handover written; /* owned */
 };
 
+/* The record that the store holds, as read by a check.  */
+struct stored_record
+{
+  bool found;
+  uint64_t revision;
+  struct bl_record record; /* all zero: not valid */
+};
+
 struct registry
 {
   pthread_t thread;
@@ -41,21 +49,13 @@
   struct platform_store *store;
   struct bl_record record;
   struct bl_own_record decisions;
-  struct bl_record previous; /* in the store before the first write */
+  struct stored_record previous; /* in the store before the first write */
   struct handover_object handover;
   bool stop_requested;
   bool withdraw;  /* delete the record before the thread ends */
   bool reachable; /* as of the last call */
 };
 
-/* The record that the store holds, as read by a check.  */
-struct stored_record
-{
-  bool found;
-  uint64_t revision;
-  struct bl_record record; /* all zero: not valid */
-};
-
 /* Waits for MS milliseconds, or until the record changes, the store is in a new
    era, or the registry is stopped.  MS is 0 for no limit.  */
 static void
@@ -171,7 +171,7 @@
       return;
     }
   if (!o->checked)
-    r->previous = stored.record;
+    r->previous = stored;
   finding = bl_own_record_checked (o, io_now_ms (), era, stored.revision,
                                    stored.found ? &stored.record : NULL,
                                    &r->record);
@@ -363,13 +363,16 @@
 }
 
 bool
-registry_previous (struct registry *registry, struct bl_record *record)
+registry_previous (struct registry *registry,
+                   struct bl_record *record,
+                   bool *found)
 {
   bool known;
 
   pthread_mutex_lock (&registry->mutex);
   known = registry->decisions.checked;
-  *record = registry->previous;
+  *record = registry->previous.record;
+  *found = registry->previous.found;
   pthread_mutex_unlock (&registry->mutex);
   return known;
 }
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -471,20 +471,28 @@
   static const struct
   {
     const char *name;
-    uint64_t start;    /* of the server */
-    bool known;        /* the store was read */
+    uint64_t start; /* of the server */
+    enum
+    {
+      UNREAD, /* the store has not answered */
+      ABSENT, /* it has no record of an earlier process */
+      RECORD,
+    } store;
     uint64_t previous; /* server in the record; 0: none */
     enum bl_link_type want;
   } cases[] = {
-    { "the store has not answered", INCARNATION - 300, false, 0,
+    { "the store has not answered", INCARNATION - 300, UNREAD, 0,
       BL_LINK_INCOMPLETE },
-    { "another server", INCARNATION - 300, true, INCARNATION - 60000,
+    { "another server", INCARNATION - 300, RECORD, INCARNATION - 60000,
       BL_LINK_NOT_OWNED },
-    { "this server", INCARNATION - 300, true, INCARNATION - 300,
+    { "this server", INCARNATION - 300, RECORD, INCARNATION - 300,
+      BL_LINK_INCOMPLETE },
+    { "no server: killed before its first heartbeat", INCARNATION - 300, RECORD,
+      0, BL_LINK_INCOMPLETE },
+    { "no record", INCARNATION - 300, ABSENT, 0, BL_LINK_NOT_OWNED },
+    { "a much older server", INCARNATION - 60000, ABSENT, 0,
       BL_LINK_INCOMPLETE },
-    { "no record", INCARNATION - 300, true, 0, BL_LINK_NOT_OWNED },
-    { "a much older server", INCARNATION - 60000, true, 0, BL_LINK_INCOMPLETE },
-    { "a younger server", INCARNATION + 10, false, 0, BL_LINK_NOT_OWNED },
+    { "a younger server", INCARNATION + 10, UNREAD, 0, BL_LINK_NOT_OWNED },
   };
 
   (void)state;
@@ -493,8 +501,10 @@
       struct observed observed = { .delivered = 0 };
       struct bl_passthrough *p = new_agent (&observed);
       struct input ready = { HB_READY, cases[i].start, 1 };
-      if (cases[i].known)
-        bl_passthrough_note_previous (p, cases[i].previous);
+      struct bl_record record = { .backend_start = cases[i].previous };
+      if (cases[i].store != UNREAD)
+        bl_passthrough_note_previous (p, cases[i].store == RECORD ? &record
+                                                                  : NULL);
       pass_input (p, 5, &ready);
       assert_true (observed.published.backend_start == cases[i].start);
       if (query_owner (p, &observed, 10) != cases[i].want)
@@ -919,7 +929,8 @@
     {
       struct observed observed = { .delivered = 0 };
       struct bl_passthrough *p = new_agent (&observed);
-      bl_passthrough_note_previous (p, cases[i].previous);
+      struct bl_record record = { .backend_start = cases[i].previous };
+      bl_passthrough_note_previous (p, &record);
       for (size_t k = 0; k < 3 && cases[i].inputs[k].kind != INPUT_END; k++)
         pass_input (p, 10000 + 1000 * k, &cases[i].inputs[k]);
       if (observed.published.backend_start != cases[i].want_start)
