An agent accepts flows once the store has its record

Cause: an agent relies on the store's record of the process before, yet processes accepted flows whether or not the store had theirs. What is found is then the record of an earlier process, which names another server. Ruled out: knowledge of balancers (they restart too), the first heartbeat, no limit to the wait (an outage of the store would stop all servers that start). Change: an agent writes its record at its start and is ready once that is acknowledged; after a new start of its server the record must name that start. Without the store it waits for 1.5 s, as long as a server may be older than a process that relies on the record. The first write precedes the read of the flow table.

--- a/core/passthrough.c
+++ b/core/passthrough.c
@@ -67,7 +67,7 @@
   pass->self = settings->self;
   pass->self.state = BL_STATE_STARTING;
   pass->idle_ms = IDLE_DEFAULT_MS;
-  pass->handover_settled = !settings->expects_handover;
+  pass->handover_settled = !settings->has_store;
   return pass;
 }
 
@@ -739,7 +739,13 @@
 {
   pass->now = now;
   if (pass->started_ms == 0)
-    pass->started_ms = now;
+    {
+      pass->started_ms = now;
+      bl_passthrough_require_record (pass);
+      if (pass->settings.has_store)
+        bl_passthrough_announce (pass, "started");
+    }
+  bl_passthrough_release_ready (pass);
   if (pass->self.seq == 0 && now - pass->started_ms > START_ANNOUNCE_MS)
     bl_passthrough_announce (pass, "no_outcome_yet");
   bl_passthrough_check_backend (pass);
--- a/core/passthrough.h
+++ b/core/passthrough.h
@@ -19,7 +19,9 @@
   struct bl_record self; /* id, data centre, service, addresses, incarnation */
   uint64_t heartbeat_ms; /* interval of the backend server's heartbeats */
   uint32_t payload_max;  /* bytes in a full packet of a caller; 0: not known */
-  bool expects_handover; /* bl_passthrough_settle_handover will be called */
+  /* The agent's record is written to a store: bl_passthrough_note_recorded and
+     bl_passthrough_settle_handover will be called.  */
+  bool has_store;
   size_t seed_count;
   struct bl_addr seeds[BL_SEEDS_MAX]; /* control addresses of balancers */
 };
@@ -150,6 +152,12 @@
    last.  NULL: there is none.  All zero: it cannot be read.  */
 void bl_passthrough_note_previous (struct bl_passthrough *pass,
                                    const struct bl_record *record);
+/* Notes that the platform's store has the own record as of SEQ or later.  Until
+   it has the first one of this process, and after a new start of the backend
+   server, no flow is accepted; without the store for 1.5 s at most.  */
+void bl_passthrough_note_recorded (struct bl_passthrough *pass,
+                                   uint64_t now,
+                                   uint32_t seq);
 /* Copies the flow table for the next process of this agent into OUT, which must
    be released with bl_handover_clear.  To be called after bl_passthrough_stop,
    which ends the acceptance of flows.  Returns BL_ENOTFOUND if there is no
--- a/core/passthrough_backend.c
+++ b/core/passthrough_backend.c
@@ -28,6 +28,7 @@
   pass->unanswered_since_ms = 0;
   pass->backend_left = false;
   pass->backend_start_seen = true;
+  bl_passthrough_require_record (pass);
 }
 
 static bool
@@ -82,8 +83,7 @@
                           uint64_t now,
                           const struct bl_heartbeat *heartbeat)
 {
-  enum bl_instance_state state
-      = heartbeat->draining ? BL_STATE_DRAINING : BL_STATE_READY;
+  enum bl_instance_state state;
   bool first = pass->backend.len == 0;
   bool same;
 
@@ -109,10 +109,14 @@
       pass->backend = heartbeat->id;
       pass->backend_start = heartbeat->backend_start;
       bl_passthrough_note_start_of_backend (pass, heartbeat);
+      if (pass->backend_start_seen)
+        pass->unrecorded_since_ms = now;
     }
   pass->counters[BL_PASSTHROUGH_HEARTBEATS]++;
   pass->heartbeat_seq = heartbeat->seq;
   pass->last_heartbeat_ms = now;
+  state = bl_passthrough_allowed_state (
+      pass, heartbeat->draining ? BL_STATE_DRAINING : BL_STATE_READY);
   /* A stopping agent keeps the state that it announced.  */
   if (pass->stopping
       || (same && state == pass->self.state
@@ -145,7 +149,9 @@
   pass->now = now;
   if (alive)
     {
-      if (pass->self.state == BL_STATE_STARTING && !pass->stopping)
+      if (pass->self.state == BL_STATE_STARTING && !pass->stopping
+          && bl_passthrough_allowed_state (pass, BL_STATE_READY)
+                 == BL_STATE_READY)
         bl_passthrough_set_state (pass, BL_STATE_READY, "connection_accepted");
       return;
     }
--- a/core/passthrough_history.c
+++ b/core/passthrough_history.c
@@ -18,7 +18,10 @@
 /* The flow table counts as incomplete for the idle time and this long after the
    start: by then every live flow has sent a packet.  */
 #define INCOMPLETE_MARGIN_MS 2000
-#define SAME_START_MS        1500 /* between two starts after a power loss */
+/* A process accepts flows without a record in the store only after this long.
+   So a later one can rely on the record if less time than that has passed since
+   the process that it is of, or since the start of the server.  */
+#define RECORD_WAIT_MS 1500
 
 static const char *const evidence_names[] = {
   [BL_EVIDENCE_NONE] = "none",
@@ -110,7 +113,7 @@
     return;
   if (is_younger (pass, heartbeat, 0))
     pass->backend_start_seen = true;
-  pass->started_with_backend = is_younger (pass, heartbeat, SAME_START_MS);
+  pass->started_with_backend = is_younger (pass, heartbeat, RECORD_WAIT_MS);
 }
 
 void
@@ -127,6 +130,62 @@
   pass->previous_backend_start = record->backend_start;
 }
 
+/* -- the own record -- */
+
+/* Returns true if the next process of this agent will find a record of this one
+   that does not rule out flows of the server.  Without the store that takes as
+   long as a server may be older than a process that relies on the record: by
+   then this one cannot be overlooked.  */
+static bool
+is_recorded (const struct bl_passthrough *pass)
+{
+  if (!pass->settings.has_store)
+    return true;
+  /* A heartbeat may arrive before the first tick.  */
+  if (pass->started_ms == 0)
+    return false;
+  return pass->recorded_seq >= pass->needed_seq
+         || pass->now - pass->unrecorded_since_ms >= RECORD_WAIT_MS;
+}
+
+void
+bl_passthrough_require_record (struct bl_passthrough *pass)
+{
+  pass->needed_seq = pass->self.seq + 1;
+  pass->unrecorded_since_ms = pass->now;
+}
+
+enum bl_instance_state
+bl_passthrough_allowed_state (struct bl_passthrough *pass,
+                              enum bl_instance_state state)
+{
+  pass->ready_withheld = state == BL_STATE_READY && !is_recorded (pass);
+  return pass->ready_withheld ? BL_STATE_STARTING : state;
+}
+
+void
+bl_passthrough_release_ready (struct bl_passthrough *pass)
+{
+  if (!pass->ready_withheld || pass->stopping
+      || pass->self.state != BL_STATE_STARTING || !is_recorded (pass))
+    return;
+  pass->ready_withheld = false;
+  bl_passthrough_set_state (pass, BL_STATE_READY, "recorded");
+}
+
+void
+bl_passthrough_note_recorded (struct bl_passthrough *pass,
+                              uint64_t now,
+                              uint32_t seq)
+{
+  pass->now = now;
+  if (seq > pass->recorded_seq)
+    pass->recorded_seq = seq;
+  bl_passthrough_release_ready (pass);
+}
+
+/* -- processes before this one -- */
+
 void
 bl_passthrough_note_process_between (struct bl_passthrough *pass,
                                      uint64_t incarnation)
--- a/core/passthrough_inner.h
+++ b/core/passthrough_inner.h
@@ -113,6 +113,12 @@
   uint64_t taken_over_from;          /* incarnation of that process */
   uint64_t taken_over_incomplete_ms; /* see struct bl_handover */
   enum bl_evidence logged_evidence;
+  /* Flows are accepted once the store has a record of this process that names
+     no other server than the present one.  */
+  uint32_t recorded_seq;        /* version that the store has; 0: none */
+  uint32_t needed_seq;          /* first version that does not name another */
+  uint64_t unrecorded_since_ms; /* start of this process or of the server */
+  bool ready_withheld;          /* the server accepts flows already */
   uint64_t unanswered_since_ms; /* oldest unanswered packet; 0: none */
   bool check_requested;         /* it returned a packet that it should accept */
   uint64_t last_check_ms;
@@ -165,6 +171,15 @@
 void
 bl_passthrough_note_start_of_backend (struct bl_passthrough *pass,
                                       const struct bl_heartbeat *heartbeat);
+/* Requires that the store gets a new version of the own record before flows are
+   accepted, since the server is not the one that it names.  */
+void bl_passthrough_require_record (struct bl_passthrough *pass);
+/* Returns STATE, or STARTING instead of READY while no flow may be accepted. */
+enum bl_instance_state
+bl_passthrough_allowed_state (struct bl_passthrough *pass,
+                              enum bl_instance_state state);
+/* Changes the state to READY if it was withheld and flows may be accepted.  */
+void bl_passthrough_release_ready (struct bl_passthrough *pass);
 /* Handles the incarnation under which a balancer knows this agent.  If that is
    a process between the one whose flow table was taken over and this one, flows
    that it accepted are missing.  */
--- a/daemon/daemon.h
+++ b/daemon/daemon.h
@@ -168,6 +168,9 @@
 bool registry_previous (struct registry *registry,
                         struct bl_record *record,
                         bool *found);
+/* Returns the version of the record that the store has acknowledged last; 0:
+   none.  */
+uint32_t registry_recorded (struct registry *registry);
 /* Writes HANDOVER, of which it takes ownership, before any other call.  */
 void registry_hand_over (struct registry *registry,
                          struct bl_handover *handover);
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -481,6 +481,7 @@
 
   bl_passthrough_tick (p->core, now);
   note_previous (p);
+  bl_passthrough_note_recorded (p->core, now, registry_recorded (p->registry));
   take_over (p);
   registry_note_era (p->registry, bl_passthrough_store_era (p->core));
   expire_check (p);
@@ -518,7 +519,7 @@
     },
     .heartbeat_ms = s->heartbeat_ms,
     .payload_max = PLATFORM_PAYLOAD_MAX,
-    .expects_handover = true,
+    .has_store = true,
     .seed_count = s->seed_count,
   };
 
--- a/daemon/registry.c
+++ b/daemon/registry.c
@@ -51,6 +51,7 @@
   struct bl_own_record decisions;
   struct stored_record previous; /* in the store before the first write */
   struct handover_object handover;
+  uint32_t recorded_seq; /* version of the record that the store has; 0: none */
   bool stop_requested;
   bool withdraw;  /* delete the record before the thread ends */
   bool reachable; /* as of the last call */
@@ -119,6 +120,7 @@
     {
     case PLATFORM_STORE_OK:
       bl_own_record_written (o, now, position.era, position.revision);
+      r->recorded_seq = record.seq;
       break;
     case PLATFORM_STORE_CONFLICT:
     case PLATFORM_STORE_NOT_FOUND:
@@ -266,6 +268,15 @@
   return h->call_ms != 0 ? h->call_ms : 1;
 }
 
+/* Returns true if the first write of the record is due.  It precedes the read
+   of the handover, since an agent accepts no flows before it.  */
+static bool
+first_write_is_due (const struct registry *r, uint64_t now)
+{
+  return r->recorded_seq == 0 && r->decisions.dirty && r->decisions.checked
+         && now >= r->decisions.not_before_ms;
+}
+
 /* Performs the next action on the record or the handover, or waits.  */
 static void
 perform_next (struct registry *r)
@@ -274,12 +285,14 @@
   uint64_t handover_ms = handover_due_ms (r);
   uint64_t due_ms;
 
-  if (handover_ms != 0 && handover_ms <= now)
+  if (r->handover.write_due && handover_ms <= now)
+    {
+      write_handover (r);
+      return;
+    }
+  if (handover_ms != 0 && handover_ms <= now && !first_write_is_due (r, now))
     {
-      if (r->handover.write_due)
-        write_handover (r);
-      else
-        read_handover (r);
+      read_handover (r);
       return;
     }
   switch (bl_own_record_next (&r->decisions, now, &due_ms))
@@ -377,6 +390,17 @@
   return known;
 }
 
+uint32_t
+registry_recorded (struct registry *registry)
+{
+  uint32_t seq;
+
+  pthread_mutex_lock (&registry->mutex);
+  seq = registry->recorded_seq;
+  pthread_mutex_unlock (&registry->mutex);
+  return seq;
+}
+
 void
 registry_hand_over (struct registry *registry, struct bl_handover *handover)
 {
--- a/test/test_handover.c
+++ b/test/test_handover.c
@@ -29,14 +29,12 @@
 static const struct bl_addr balancer = { .ip = 9, .port = 1 };
 
 static struct bl_passthrough *
-new_agent_that (struct observed *observed,
-                uint64_t incarnation,
-                bool expects_handover)
+new_agent_that (struct observed *observed, uint64_t incarnation, bool has_store)
 {
   struct bl_passthrough_settings settings = {
     .self = { .kind = BL_KIND_BACKEND, .incarnation = incarnation },
     .heartbeat_ms = 1000,
-    .expects_handover = expects_handover,
+    .has_store = has_store,
   };
   struct bl_passthrough *p;
 
