A flow table is complete only for the process right after its writer

Cause: the process in between could write neither its record nor its table, so the table of the process before the last counts as that of the last. Change: the table states when its writer ceased to accept flows, by the steady clock.

--- a/core/handover.c
+++ b/core/handover.c
@@ -61,10 +61,11 @@
   flows[0] = '\0';
   for (size_t i = 0; i < handover->count; i++)
     format_flow (&handover->flows[i], flows + i * FLOW_DIGITS);
-  json = json_pack ("{s:I, s:I, s:I, s:s}", "incarnation",
+  json = json_pack ("{s:I, s:I, s:I, s:I, s:s}", "incarnation",
                     (json_int_t)handover->incarnation, "store_era",
                     (json_int_t)handover->store_era, "incomplete_ms",
-                    (json_int_t)handover->incomplete_ms, "flows", flows);
+                    (json_int_t)handover->incomplete_ms, "stopped_ms",
+                    (json_int_t)handover->stopped_ms, "flows", flows);
   text = json_dumps (json, JSON_COMPACT);
   json_decref (json);
   free (flows);
@@ -150,7 +151,9 @@
   *out = (struct bl_handover){ .count = 0 };
   if (flows != NULL && read_number (json, "incarnation", &out->incarnation)
       && read_number (json, "store_era", &out->store_era)
-      && read_number (json, "incomplete_ms", &out->incomplete_ms))
+      && read_number (json, "incomplete_ms", &out->incomplete_ms)
+      && (json_object_get (json, "stopped_ms") == NULL
+          || read_number (json, "stopped_ms", &out->stopped_ms)))
     err = parse_flows (out, flows);
   if (err != BL_OK)
     bl_handover_clear (out);
--- a/core/handover.h
+++ b/core/handover.h
@@ -24,9 +24,12 @@
 {
   uint64_t incarnation; /* of the process that wrote it */
   uint64_t store_era;   /* of the store when it was written; 0: none stated */
-  /* For this long after the next start, flows that are older than the writer
-     may be missing; 0: the table is complete.  In milliseconds.  */
+  /* For this much longer, flows that are older than the writer might have been
+     missing; 0: the table is complete.  In milliseconds.  */
   uint64_t incomplete_ms;
+  /* When the writer ceased to accept flows, by the machine's steady clock; 0:
+     not stated, as by earlier versions.  In milliseconds.  */
+  uint64_t stopped_ms;
   size_t count;
   struct bl_handover_flow *flows; /* owned */
 };
