The time of an incomplete flow table is not counted on

Callers may see: a reset of an open flow after an agent was killed, and stopped and started within the idle time after that. Cause: the next process counted on from the time that the table stated, but packets that pass between the write of the table and the end of its writer are in neither. Change: an incomplete table is no evidence; its flows are claimed as before.

--- a/core/passthrough_inner.h
+++ b/core/passthrough_inner.h
@@ -110,8 +110,7 @@
   struct bl_held_query held_queries[HELD_QUERIES_MAX];
   /* The flow table of the process before this one was taken over.  */
   bool taken_over;
-  uint64_t taken_over_from;          /* incarnation of that process */
-  uint64_t taken_over_incomplete_ms; /* see struct bl_handover */
+  uint64_t taken_over_from; /* incarnation of that process */
   enum bl_evidence logged_evidence;
   /* Flows are accepted once the store has a record of this process that names
      no other server than the present one.  */
