The server's numbers replace those of a table that was taken over

Callers may see: a reset of an open flow whose port was used before, after its agent was restarted. Cause: an entry that was taken over kept the higher of its own sequence number and the server's; after the reuse of a port the server's may be the lower one. Change: the first packet of the server sets the number.

--- a/Makefile
+++ b/Makefile
@@ -73,7 +73,7 @@
 	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS)
 
 $(B)/test_%: $(B)/test/test_%.o $(FAKE) $(B)/test/flood.o $(B)/test/scenario.o \
-            $(B)/test/deployment.o $(B)/test/single_agent.o \
+            $(B)/test/deployment.o $(B)/test/single_agent.o $(B)/test/options.o \
             $(EMULATOR) $(B)/libboragelatch.a
 	@$(CC) $(CFLAGS) $^ -o $@ $(CORE_LIBS) -lcmocka
 
--- a/core/passthrough.c
+++ b/core/passthrough.c
@@ -609,13 +609,14 @@
 }
 
 /* Advances the next sequence number of the server.  A retransmitted packet may
-   end before it and changes nothing.  */
+   end before it and changes nothing.  A number that an earlier process handed
+   over may be of another flow with the same port.  */
 static void
 note_sent (struct bl_passthrough_flow *f, const struct bl_packet *packet)
 {
   uint32_t end = packet->seq + packet->payload_len;
 
-  if (!f->next_seq_known || (int32_t)(end - f->next_seq) > 0)
+  if (!f->next_seq_known || f->handed_over || (int32_t)(end - f->next_seq) > 0)
     f->next_seq = end;
   f->next_seq_known = true;
   f->handed_over = false;
--- a/test/test_handover.c
+++ b/test/test_handover.c
@@ -265,6 +265,8 @@
   { "the flow of the table", OPEN_ACK, OPEN_ACK, BL_LINK_OWNED },
   { "another one", OPEN_ACK, 1u << 30, BL_LINK_NOT_OWNED },
   { "numbers above the table's", 1u << 30, 1u << 30, BL_LINK_OWNED },
+  { "numbers below the table's", 3u << 30, 3u << 30, BL_LINK_OWNED },
+  { "the flow of the table has ended", 3u << 30, OPEN_ACK, BL_LINK_NOT_OWNED },
 };
 
 static void
--- a/test/test_pairs.c
+++ b/test/test_pairs.c
@@ -9,6 +9,7 @@
    SEED and RUNS in the environment select other seeds and more runs; see `make
    soak`.  */
 
+#include "test/options.h"
 #include "test/scenario.h"
 
 #include <setjmp.h>
@@ -240,13 +241,6 @@
   free (run);
 }
 
-static uint64_t
-environment_number (const char *name, uint64_t fallback)
-{
-  const char *text = getenv (name);
-  return text != NULL ? strtoul (text, NULL, 10) : fallback;
-}
-
 static void
 test_pairs (void **state)
 {
