A record without an address, or that no start can replace, is left out

Callers may see: flows offered to an address that is none, or an agent that balancers no longer hear, if another writer leaves such an entry. Cause: ports were checked to be at most 65535 and incarnations at most 2^63 - 1; 0 and numbers above which no later start is possible were taken. Change: address, data and control port are 1 or more, the incarnation is from 1 to half of the largest number. Instances of the datagram transport, which alone write records, always have these.

--- a/core/record.c
+++ b/core/record.c
@@ -1,6 +1,7 @@
 /* record.c -- membership records as JSON, in the format of the platform's store
 
-   A record with a member that is missing or out of range is rejected.  */
+   A record with a member that is missing or out of range is rejected: another
+   writer may have left it.  */
 
 #include "core/store.h"
 #include "core/json.h"
@@ -8,6 +9,8 @@
 #include <jansson.h>
 #include <string.h>
 
+#define INCARNATION_MAX (INT64_MAX / 2) /* later starts are above it */
+
 char *
 bl_record_format (const struct bl_record *r)
 {
@@ -26,12 +29,17 @@
 }
 
 static uint64_t
-read_number (const json_t *json, const char *field, uint64_t max, bool *valid)
+read_number (const json_t *json,
+             const char *field,
+             uint64_t min,
+             uint64_t max,
+             bool *valid)
 {
   const json_t *value = json_object_get (json, field);
   json_int_t n = json_integer_value (value);
 
-  if (!json_is_integer (value) || n < 0 || (uint64_t)n > max)
+  if (!json_is_integer (value) || n < 0 || (uint64_t)n < min
+      || (uint64_t)n > max)
     {
       *valid = false;
       return 0;
@@ -59,29 +67,30 @@
   bool has_service = true;
 
   memset (record, 0, sizeof *record);
-  record->kind = (enum bl_instance_kind)read_number (json, "kind",
+  record->kind = (enum bl_instance_kind)read_number (json, "kind", 0,
                                                      BL_KIND_BACKEND, &valid);
-  record->state = (enum bl_instance_state)read_number (json, "state",
+  record->state = (enum bl_instance_state)read_number (json, "state", 0,
                                                        BL_STATE_DEAD, &valid);
   read_name (json, "id", &record->id, &valid);
   read_name (json, "dc", &record->dc, &valid);
   read_name (json, "service", &record->service, &has_service);
-  record->ip = (uint32_t)read_number (json, "ip", UINT32_MAX, &valid);
+  record->ip = (uint32_t)read_number (json, "ip", 1, UINT32_MAX, &valid);
   record->data_port
-      = (uint16_t)read_number (json, "data_port", UINT16_MAX, &valid);
+      = (uint16_t)read_number (json, "data_port", 1, UINT16_MAX, &valid);
   record->control_port
-      = (uint16_t)read_number (json, "control_port", UINT16_MAX, &valid);
+      = (uint16_t)read_number (json, "control_port", 1, UINT16_MAX, &valid);
   record->bulk_port
-      = (uint16_t)read_number (json, "bulk_port", UINT16_MAX, &valid);
+      = (uint16_t)read_number (json, "bulk_port", 0, UINT16_MAX, &valid);
   record->admin_port
-      = (uint16_t)read_number (json, "admin_port", UINT16_MAX, &valid);
-  record->incarnation = read_number (json, "incarnation", INT64_MAX, &valid);
-  record->seq = (uint32_t)read_number (json, "seq", UINT32_MAX, &valid);
-  record->slots = (uint32_t)read_number (json, "slots", UINT32_MAX, &valid);
+      = (uint16_t)read_number (json, "admin_port", 0, UINT16_MAX, &valid);
+  record->incarnation
+      = read_number (json, "incarnation", 1, INCARNATION_MAX, &valid);
+  record->seq = (uint32_t)read_number (json, "seq", 0, UINT32_MAX, &valid);
+  record->slots = (uint32_t)read_number (json, "slots", 0, UINT32_MAX, &valid);
   /* Records of earlier versions have none.  */
   if (json_object_get (json, "backend_start") != NULL)
     record->backend_start
-        = read_number (json, "backend_start", INT64_MAX, &valid);
+        = read_number (json, "backend_start", 0, INT64_MAX, &valid);
   json_decref (json);
   if (record->kind == BL_KIND_BACKEND && !has_service)
     valid = false;
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -374,6 +374,61 @@
   pthread_attr_destroy (&attr);
 }
 
+#define RECORD(ip, data, control, admin, incarnation)                          \
+  "{\"kind\":1,\"state\":1,\"id\":\"w\",\"dc\":\"d\",\"service\":\"s\","       \
+  "\"ip\":" ip ",\"data_port\":" data ",\"control_port\":" control             \
+  ",\"bulk_port\":0,\"admin_port\":" admin ",\"incarnation\":" incarnation     \
+  ",\"seq\":4,\"slots\":2,\"backend_start\":5}"
+
+/* Guards against an entry of another writer that is taken for an instance:
+   flows would be offered to nobody, or no later start could replace it.  */
+static void
+test_records (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    const char *text;
+    int want;
+  } cases[] = {
+    { "valid", RECORD ("16", "7", "8", "9", "1777803005000"), BL_OK },
+    { "no admin port", RECORD ("16", "7", "8", "0", "1777803005000"), BL_OK },
+    { "no address", RECORD ("0", "7", "8", "9", "1"), BL_EFORMAT },
+    { "no data port", RECORD ("16", "0", "8", "9", "1"), BL_EFORMAT },
+    { "no control port", RECORD ("16", "7", "0", "9", "1"), BL_EFORMAT },
+    { "a port out of range", RECORD ("16", "65536", "8", "9", "1"),
+      BL_EFORMAT },
+    { "a negative port", RECORD ("16", "7", "-1", "9", "1"), BL_EFORMAT },
+    { "a port with a fraction", RECORD ("16", "7", "8.5", "9", "1"),
+      BL_EFORMAT },
+    { "a port as text", RECORD ("16", "\"7\"", "8", "9", "1"), BL_EFORMAT },
+    { "a port that is nested deeply",
+      RECORD ("16",
+              "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[7]]]]]]]]]]]]]]]]]]]]]]]]]]]]"
+              "]]]]]]",
+              "8", "9", "1"),
+      BL_EFORMAT },
+    { "an incarnation that is too large for a number",
+      RECORD ("16", "7", "8", "9", "99999999999999999999"), BL_EFORMAT },
+    { "the largest number as incarnation",
+      RECORD ("16", "7", "8", "9", "9223372036854775807"), BL_EFORMAT },
+    { "an incarnation that no later start reaches",
+      RECORD ("16", "7", "8", "9", "9223372036854775806"), BL_EFORMAT },
+    { "an incarnation of 1e999", RECORD ("16", "7", "8", "9", "1e999"),
+      BL_EFORMAT },
+    { "no incarnation", RECORD ("16", "7", "8", "9", "0"), BL_EFORMAT },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct bl_record record;
+      int err = bl_record_parse (&record, cases[i].text);
+      if (err != cases[i].want)
+        fail_msg ("%s: %d", cases[i].name, err);
+    }
+}
+
 /* Brackets inside strings are no nesting.  */
 static void
 test_brackets_in_strings (void **state)
@@ -485,6 +540,7 @@
     cmocka_unit_test (test_split),
     cmocka_unit_test (test_link_round_trip),
     cmocka_unit_test (test_deep_nesting),
+    cmocka_unit_test (test_records),
     cmocka_unit_test (test_brackets_in_strings),
     cmocka_unit_test (test_fuzz),
   };
