Heartbeats that are not the server's change nothing, and are not acknowledged

Cause: a heartbeat without born counted as one of the known start, so its number was taken and the server's own were dropped as late, yet answered with 200. Ruled out: a bound for the number from the server's age (the clock may be set).

--- a/core/passthrough.h
+++ b/core/passthrough.h
@@ -16,9 +16,10 @@
 
 struct bl_passthrough_settings
 {
-  struct bl_record self; /* id, data centre, service, addresses, incarnation */
-  uint64_t heartbeat_ms; /* interval of the backend server's heartbeats */
-  uint32_t payload_max;  /* bytes in a full packet of a caller; 0: not known */
+  struct bl_record self;  /* id, data centre, service, addresses, incarnation */
+  struct bl_addr backend; /* of the backend server; port 0: not checked */
+  uint64_t heartbeat_ms;  /* interval of the backend server's heartbeats */
+  uint32_t payload_max;   /* bytes in a full packet of a caller; 0: not known */
   /* The agent's record is written to a store: bl_passthrough_note_recorded and
      bl_passthrough_settle_handover will be called.  */
   bool has_store;
@@ -35,7 +36,7 @@
   bool draining;
   uint32_t slots;         /* requests that the server runs at once */
   uint32_t warm_up_ms;    /* time that it stays slow after its start */
-  uint64_t backend_start; /* milliseconds since 1970; 0: not given */
+  uint64_t backend_start; /* milliseconds since 1970 */
   uint64_t seq;           /* number of the heartbeat */
 };
 
@@ -128,8 +129,8 @@
                             const uint8_t *buf,
                             size_t len);
 /* Handles a heartbeat.  Returns BL_OK, BL_ESTALE for a heartbeat that is older
-   than one received before, or BL_EFORMAT for a heartbeat of another
-   service.  */
+   than one received before, or BL_EFORMAT for one that cannot be of this
+   agent's backend server.  In both cases it has changed nothing.  */
 int bl_passthrough_heartbeat (struct bl_passthrough *pass,
                               uint64_t now,
                               const struct bl_heartbeat *heartbeat);
--- a/core/passthrough_backend.c
+++ b/core/passthrough_backend.c
@@ -14,6 +14,8 @@
 #define START_CHECK_INTERVAL_MS 100 /* the same while it is STARTING */
 #define START_CHECKS_MAX        20  /* checks made while it is STARTING */
 #define MISSED_HEARTBEATS       3   /* missed heartbeats until a check */
+/* A server whose start is later than this is not of this machine.  */
+#define CLOCK_STEP_MAX_MS (24 * 3600 * 1000ull)
 
 /* Handles the replacement of the server by another process, which holds none of
    the open flows.  */
@@ -35,47 +37,80 @@
 is_same_backend (const struct bl_passthrough *pass,
                  const struct bl_heartbeat *heartbeat)
 {
-  if (!bl_name_equal (&pass->backend, &heartbeat->id))
-    return false;
-  return pass->backend_start == 0 || heartbeat->backend_start == 0
-         || pass->backend_start == heartbeat->backend_start;
+  return bl_name_equal (&pass->backend, &heartbeat->id)
+         && pass->backend_start == heartbeat->backend_start;
 }
 
-/* Returns true if heartbeats with an earlier start time continue at their
-   interval while those of the known start have stopped: the clock was set back
-   between the two starts.  Late heartbeats that a network failure delayed
-   arrive in one burst instead.  */
+/* Returns true if heartbeats that are behind the last one taken continue at
+   their interval, and none was taken in between.  Late heartbeats that a
+   network failure delayed arrive in one burst instead.  */
+static bool
+continues_behind (struct bl_passthrough *pass,
+                  const struct bl_heartbeat *heartbeat)
+{
+  bool consecutive
+      = heartbeat->backend_start == pass->behind_start
+        && heartbeat->seq > pass->behind_seq
+        && pass->now - pass->behind_ms >= pass->settings.heartbeat_ms / 2;
+
+  pass->behind_start = heartbeat->backend_start;
+  pass->behind_seq = heartbeat->seq;
+  pass->behind_ms = pass->now;
+  return consecutive;
+}
+
+/* Returns true if heartbeats with an earlier start time continue while those of
+   the known start have stopped: the clock was set back between the two
+   starts.  */
 static bool
 clock_was_set_back (struct bl_passthrough *pass,
                     const struct bl_heartbeat *heartbeat)
 {
-  bool consecutive
-      = heartbeat->backend_start == pass->earlier_backend_start
-        && heartbeat->seq > pass->earlier_seq
-        && pass->now - pass->earlier_ms >= pass->settings.heartbeat_ms / 2;
+  bool continues = continues_behind (pass, heartbeat);
   bool current_ended = pass->now - pass->last_heartbeat_ms
                        > MISSED_HEARTBEATS * pass->settings.heartbeat_ms;
 
-  pass->earlier_backend_start = heartbeat->backend_start;
-  pass->earlier_seq = heartbeat->seq;
-  pass->earlier_ms = pass->now;
-  return consecutive && current_ended;
+  return continues && current_ended;
 }
 
+/* If heartbeats of the known start continue with lower numbers, the number that
+   was taken is not the server's.  */
 static bool
 is_stale (struct bl_passthrough *pass, const struct bl_heartbeat *heartbeat)
 {
   /* Before the first heartbeat, the record of an earlier process may name a
      later start of the server.  */
-  if (pass->backend.len == 0)
-    return heartbeat->backend_start != 0
-           && heartbeat->backend_start < pass->previous_backend_start
-           && !clock_was_set_back (pass, heartbeat);
-  if (heartbeat->backend_start != 0
-      && heartbeat->backend_start < pass->backend_start)
+  uint64_t known = pass->backend.len == 0 ? pass->previous_backend_start
+                                          : pass->backend_start;
+
+  if (heartbeat->backend_start < known)
     return !clock_was_set_back (pass, heartbeat);
   return is_same_backend (pass, heartbeat)
-         && heartbeat->seq <= pass->heartbeat_seq && heartbeat->seq != 0;
+         && heartbeat->seq < pass->heartbeat_seq
+         && !continues_behind (pass, heartbeat);
+}
+
+/* Returns why HEARTBEAT cannot be of this agent's backend server, or NULL.  Its
+   start is by the clock of this machine, which may have been set since.  */
+static const char *
+find_foreign (const struct bl_passthrough *pass,
+              const struct bl_heartbeat *heartbeat)
+{
+  uint64_t latest_ms = pass->settings.self.incarnation + CLOCK_STEP_MAX_MS;
+
+  if (pass->started_ms != 0)
+    latest_ms += pass->now - pass->started_ms;
+  if (!bl_name_equal (&heartbeat->service, &pass->self.service))
+    return "other_service";
+  if (pass->settings.backend.port != 0
+      && !bl_addr_equal (heartbeat->address, pass->settings.backend))
+    return "other_address";
+  if (heartbeat->backend_start > latest_ms)
+    return "impossible_start";
+  if (heartbeat->backend_start == pass->backend_start
+      && !bl_name_equal (&pass->backend, &heartbeat->id))
+    return "other_id";
+  return NULL;
 }
 
 int
@@ -85,14 +120,15 @@
 {
   enum bl_instance_state state;
   bool first = pass->backend.len == 0;
+  const char *foreign;
   bool same;
 
   pass->now = now;
-  if (!bl_name_equal (&heartbeat->service, &pass->self.service))
+  foreign = find_foreign (pass, heartbeat);
+  if (foreign != NULL)
     {
       pass->counters[BL_PASSTHROUGH_IGNORED_HEARTBEATS]++;
-      pass->ops.log_decision (pass->ctx, "heartbeat_ignored", "other_service",
-                              NULL, 0);
+      pass->ops.log_decision (pass->ctx, "heartbeat_ignored", foreign, NULL, 0);
       return BL_EFORMAT;
     }
   if (is_stale (pass, heartbeat))
@@ -102,6 +138,9 @@
       return BL_ESTALE;
     }
   same = is_same_backend (pass, heartbeat);
+  /* A copy of the last one, whose answer was lost.  */
+  if (same && heartbeat->seq == pass->heartbeat_seq)
+    return BL_OK;
   if (!same && !first)
     replace_backend (pass, heartbeat);
   if (first)
@@ -115,6 +154,7 @@
   pass->counters[BL_PASSTHROUGH_HEARTBEATS]++;
   pass->heartbeat_seq = heartbeat->seq;
   pass->last_heartbeat_ms = now;
+  pass->behind_start = 0;
   state = bl_passthrough_allowed_state (
       pass, heartbeat->draining ? BL_STATE_DRAINING : BL_STATE_READY);
   /* A stopping agent keeps the state that it announced.  */
--- a/core/passthrough_inner.h
+++ b/core/passthrough_inner.h
@@ -90,10 +90,10 @@
   uint64_t backend_start; /* milliseconds since 1970; 0: not known */
   uint64_t heartbeat_seq;
   uint64_t last_heartbeat_ms; /* 0: none */
-  /* Last heartbeat that named an earlier start.  */
-  uint64_t earlier_backend_start;
-  uint64_t earlier_seq;
-  uint64_t earlier_ms;
+  /* Last heartbeat that was behind the last one taken.  */
+  uint64_t behind_start;
+  uint64_t behind_seq;
+  uint64_t behind_ms;
   bool backend_left;
   /* No server ran, or it started since this process did.  Rules out flows that
      are older than this process.  */
--- a/daemon/passthrough.c
+++ b/daemon/passthrough.c
@@ -271,10 +271,15 @@
               findings.items[0].place, findings.items[0].text);
       return 400;
     }
-  return bl_passthrough_heartbeat (p->core, io_now_ms (), &heartbeat)
-                 == BL_EFORMAT
-             ? 400
-             : 200;
+  switch (bl_passthrough_heartbeat (p->core, io_now_ms (), &heartbeat))
+    {
+    case BL_OK:
+      return 200;
+    case BL_ESTALE:
+      return 409; /* what it says is not in force, so it is not acknowledged */
+    default:
+      return 400;
+    }
 }
 
 static int
@@ -517,6 +522,7 @@
       .admin_port = s->http.port,
       .incarnation = io_wall_ms () + s->clock_offset_ms,
     },
+    .backend = s->backend,
     .heartbeat_ms = s->heartbeat_ms,
     .payload_max = PLATFORM_PAYLOAD_MAX,
     .has_store = true,
--- a/test/process_datagram.sh
+++ b/test/process_datagram.sh
@@ -25,6 +25,17 @@
 done
 kill -0 "${PID_OF[w1-agent]}" || fail "an unreadable heartbeat ended the agent"
 
+# What is not in force is not acknowledged: a late heartbeat, one without a start
+# time, one of another address.
+late="{\"service\":\"web\",\"address\":\"${IP_OF[w1]}:$APP\",\"zone\":\"dc1\",
+  \"version\":\"v1\",\"concurrencyLimit\":4,\"state\":\"draining\",
+  \"warmupRemainingMs\":0,\"sequence\":9,\"born\":1}"
+for case in "409 $late" "400 ${late/,\"born\":1/}" "400 ${late/:$APP/:1}"; do
+  status=$(curl -s -o /dev/null -w '%{http_code}' -X PUT --data "${case#* }" \
+    "http://${IP_OF[w1]}:$HEARTBEATS/v1/instances/w1")
+  [ "$status" = "${case%% *}" ] || fail "status $status for $case"
+done
+
 # Planned changes under load: a balancer and an agent restart, a backend server
 # drains, another joins.  Every request is answered.
 callers planned --users 40 --requests 60 --once 4 --seed 4
