Routes may lead to any number of services

Cause: arrays of eight services and eight former ones; a route with more was left out as unreadable. So was one with a long name or a space in it, though the name is not used. Change: the services of a route are a list; 1,024 former ones are kept; the name is not read. A configuration that memory does not suffice for is logged as such. Open: names of services over 47 bytes.

--- a/bench/bench_dispatch.c
+++ b/bench/bench_dispatch.c
@@ -92,6 +92,7 @@
 new_route_table (size_t services)
 {
   struct bl_route_table *table = bl_route_table_new (services);
+  struct bl_name service;
 
   table->version = 1;
   table->count = services;
@@ -100,10 +101,8 @@
       struct bl_route_entry *r = &table->routes[i];
       r->ip = ROUTES_NET + (uint32_t)i;
       r->port = 443;
-      r->split_count = 1;
-      set_service_name (&r->splits[0].service, i);
-      r->splits[0].service_hash = bl_name_hash (&r->splits[0].service, 0);
-      r->splits[0].weight = 1;
+      set_service_name (&service, i);
+      bl_route_add_split (r, &service, 1);
     }
   bl_route_table_sort (table);
   return table;
--- a/core/dispatch_state.c
+++ b/core/dispatch_state.c
@@ -39,13 +39,20 @@
                        uint64_t now,
                        struct bl_route_table *table)
 {
+  int err;
+
   d->now = now;
   if (d->table != NULL && table->version <= d->table->version)
     {
       bl_route_table_free (table);
       return BL_ESTALE;
     }
-  bl_route_table_set_former (table, d->table);
+  err = bl_route_table_set_former (table, d->table);
+  if (err != BL_OK)
+    {
+      bl_route_table_free (table);
+      return err;
+    }
   bl_route_table_free (d->table);
   d->table = table;
   d->update_pending = true;
--- a/core/route_table.c
+++ b/core/route_table.c
@@ -23,11 +23,40 @@
   return table;
 }
 
+int
+bl_route_add_split (struct bl_route_entry *route,
+                    const struct bl_name *service,
+                    uint32_t weight)
+{
+  size_t size = (route->split_count + 1) * sizeof *route->splits;
+  struct bl_split *splits = realloc (route->splits, size);
+
+  if (splits == NULL)
+    return BL_ENOMEM;
+  route->splits = splits;
+  splits[route->split_count++] = (struct bl_split){
+    .service = *service,
+    .service_hash = bl_name_hash (service, 0),
+    .weight = weight,
+  };
+  return BL_OK;
+}
+
+void
+bl_route_clear (struct bl_route_entry *route)
+{
+  free (route->splits);
+  free (route->former);
+  *route = (struct bl_route_entry){ .ip = 0 };
+}
+
 void
 bl_route_table_free (struct bl_route_table *table)
 {
   if (table == NULL)
     return;
+  for (size_t i = 0; i < table->count; i++)
+    bl_route_clear (&table->routes[i]);
   free (table->routes);
   free (table);
 }
@@ -81,22 +110,39 @@
     route->former[route->former_count++] = service;
 }
 
-void
+/* Sets the former services of ROUTE from BEFORE, which it replaces.  */
+static int
+set_former (struct bl_route_entry *route, const struct bl_route_entry *before)
+{
+  size_t max = before->split_count + before->former_count;
+
+  if (max > BL_FORMER_MAX)
+    max = BL_FORMER_MAX;
+  route->former = calloc (max + 1, sizeof *route->former);
+  if (route->former == NULL)
+    return BL_ENOMEM;
+  for (size_t k = 0; k < before->split_count; k++)
+    add_former (route, before->splits[k].service_hash);
+  for (size_t k = 0; k < before->former_count; k++)
+    add_former (route, before->former[k]);
+  return BL_OK;
+}
+
+int
 bl_route_table_set_former (struct bl_route_table *table,
                            const struct bl_route_table *replaced)
 {
-  for (size_t i = 0; i < table->count; i++)
+  int err = BL_OK;
+
+  for (size_t i = 0; i < table->count && err == BL_OK; i++)
     {
       struct bl_route_entry *route = &table->routes[i];
       const struct bl_route_entry *before
           = bl_route_table_find (replaced, route->ip, route->port);
-      if (before == NULL)
-        continue;
-      for (size_t k = 0; k < before->split_count; k++)
-        add_former (route, before->splits[k].service_hash);
-      for (size_t k = 0; k < before->former_count; k++)
-        add_former (route, before->former[k]);
+      if (before != NULL)
+        err = set_former (route, before);
     }
+  return err;
 }
 
 const struct bl_split *
--- a/core/route_table.h
+++ b/core/route_table.h
@@ -5,10 +5,8 @@
 
 #include "boragelatch.h"
 
-#define BL_SPLIT_MAX 8 /* services among which a route divides its flows */
-#define BL_FORMER_MAX                                                          \
-  8 /* former services kept for a route, the latest ones                       \
-     */
+/* Former services that are kept for a route, the latest ones.  */
+#define BL_FORMER_MAX 1024
 
 /* HTTP path at which a balancer serves the text of its routes in force.  */
 #define BL_ROUTES_PATH "/v1/routes"
@@ -30,13 +28,12 @@
   uint8_t priority; /* 0 is served first */
   uint32_t target_latency_ms; /* intended latency of answers */
   uint32_t deadline_ms;       /* time after which callers discard an answer */
-  struct bl_name name;
   size_t split_count;
-  struct bl_split splits[BL_SPLIT_MAX];
+  struct bl_split *splits; /* owned */
   /* Hashes of the services that earlier versions of the route led to, the
      latest first.  Flows that are still open may be there.  */
   size_t former_count;
-  uint64_t former[BL_FORMER_MAX];
+  uint64_t *former; /* owned */
 };
 
 /* All routes of one configuration version.  */
@@ -50,12 +47,18 @@
 
 struct bl_route_table *bl_route_table_new (size_t cap);
 void bl_route_table_free (struct bl_route_table *table);
+/* Adds a service to ROUTE.  Returns BL_OK or BL_ENOMEM.  */
+int bl_route_add_split (struct bl_route_entry *route,
+                        const struct bl_name *service,
+                        uint32_t weight);
+/* Releases what a route owns that is not part of a table.  */
+void bl_route_clear (struct bl_route_entry *route);
 /* Sorts the routes by address and port.  Call once, after all were added.  */
 void bl_route_table_sort (struct bl_route_table *table);
 /* Sets the former services of each route in TABLE from the table that TABLE
-   replaces.  Call after bl_route_table_sort.  */
-void bl_route_table_set_former (struct bl_route_table *table,
-                                const struct bl_route_table *replaced);
+   replaces.  Call after bl_route_table_sort.  Returns BL_OK or BL_ENOMEM.  */
+int bl_route_table_set_former (struct bl_route_table *table,
+                               const struct bl_route_table *replaced);
 /* Returns the route of an address and port, or NULL.  */
 const struct bl_route_entry *bl_route_table_find (
     const struct bl_route_table *table, uint32_t ip, uint16_t port);
--- a/daemon/dispatcher.c
+++ b/daemon/dispatcher.c
@@ -217,6 +217,7 @@
   struct bl_route_table *table;
   uint64_t version;
   char *copy;
+  int err;
 
   findings.count = 0;
   if (platform_route_table_parse (&table, text, &findings) != BL_OK)
@@ -231,10 +232,12 @@
             source, findings.items[i].place, findings.items[i].text);
   d->unreadable += findings.count;
   version = table->version;
-  if (bl_dispatch_configure (d->core, io_now_ms (), table) != BL_OK)
+  err = bl_dispatch_configure (d->core, io_now_ms (), table);
+  if (err != BL_OK)
     {
-      io_log (IO_INFO, "routes_not_newer", "version=%lu source=%s", version,
-              source);
+      io_log (err == BL_ESTALE ? IO_INFO : IO_ERROR,
+              err == BL_ESTALE ? "routes_not_newer" : "routes_out_of_memory",
+              "version=%lu source=%s", version, source);
       return;
     }
   io_log (IO_INFO, "routes_in_force", "version=%lu source=%s", version, source);
--- a/emulator/emulator.c
+++ b/emulator/emulator.c
@@ -736,10 +736,7 @@
       r->priority = (uint8_t)i;
       r->target_latency_ms = c->response_target_ms;
       r->deadline_ms = c->deadline_ms;
-      r->split_count = 1;
-      r->splits[0].service = em->service_names[c->service];
-      r->splits[0].service_hash = bl_name_hash (&r->splits[0].service, 0);
-      r->splits[0].weight = 1;
+      bl_route_add_split (r, &em->service_names[c->service], 1);
     }
   bl_route_table_sort (table);
   return table;
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -370,6 +370,7 @@
 new_routes (uint64_t version, const char *service, const char *other)
 {
   const char *names[] = { service, other };
+  struct bl_name name;
   struct bl_route_table *table = bl_route_table_new (1);
   struct bl_route_entry *r = &table->routes[0];
 
@@ -379,10 +380,8 @@
   r->port = single_key.dst_port;
   for (size_t i = 0; i < 2 && names[i] != NULL; i++)
     {
-      bl_name_set (&r->splits[i].service, bl_str_of (names[i]));
-      r->splits[i].service_hash = bl_name_hash (&r->splits[i].service, 0);
-      r->splits[i].weight = 1;
-      r->split_count++;
+      bl_name_set (&name, bl_str_of (names[i]));
+      bl_route_add_split (r, &name, 1);
     }
   return table;
 }
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -318,17 +318,99 @@
   bl_route_table_free (table);
 }
 
+#define SPLITS 300
+
+/* Guards against a valid route that is left out: it may lead to hundreds of
+   services, and its name is the operator's.  */
+static void
+test_wide_split (void **state)
+{
+  static char text[32768];
+  struct bl_findings f = { .count = 0 };
+  struct bl_route_table *table;
+  size_t len = (size_t)sprintf (
+      text, "{\"version\":7,\"routes\":[{\"name\":\"my route, of "
+            "0123456789012345678901234567890123456789\",\"host\":\"1.2.3.4\","
+            "\"pathPrefix\":\"/80/\",\"trafficSplit\":[");
+
+  (void)state;
+  for (unsigned i = 0; i < SPLITS; i++)
+    len += (size_t)sprintf (text + len, "%s{\"service\":\"s%u\",\"weight\":1}",
+                            i > 0 ? "," : "", i);
+  strcpy (text + len, "]}]}");
+  assert_int_equal (platform_route_table_parse (&table, bl_str_of (text), &f),
+                    BL_OK);
+  assert_int_equal (f.count, 0);
+  assert_int_equal (table->count, 1);
+  assert_int_equal (table->routes[0].split_count, SPLITS);
+  assert_string_equal (table->routes[0].splits[SPLITS - 1].service.s, "s299");
+  bl_route_table_free (table);
+}
+
+static struct bl_route_table *
+new_table (unsigned first, unsigned count)
+{
+  struct bl_route_table *table = bl_route_table_new (1);
+  struct bl_name name;
+  char text[16];
+
+  table->count = 1;
+  for (unsigned i = first; i < first + count; i++)
+    {
+      snprintf (text, sizeof text, "s%u", i);
+      bl_name_set (&name, bl_str_of (text));
+      assert_int_equal (bl_route_add_split (&table->routes[0], &name, 1),
+                        BL_OK);
+    }
+  return table;
+}
+
+static bool
+is_former (const struct bl_route_table *table, unsigned service)
+{
+  struct bl_name name;
+  char text[16];
+
+  snprintf (text, sizeof text, "s%u", service);
+  bl_name_set (&name, bl_str_of (text));
+  for (size_t i = 0; i < table->routes[0].former_count; i++)
+    if (table->routes[0].former[i] == bl_name_hash (&name, 0))
+      return true;
+  return false;
+}
+
+/* Guards against flows that are not looked up in the service that holds them:
+   all services of a wide split are kept as former ones, the latest first.  */
+static void
+test_former_services (void **state)
+{
+  struct bl_route_table *before = new_table (0, SPLITS);
+
+  (void)state;
+  for (unsigned first = SPLITS; first < 10 * SPLITS; first += SPLITS)
+    {
+      struct bl_route_table *table = new_table (first, SPLITS);
+      assert_int_equal (bl_route_table_set_former (table, before), BL_OK);
+      for (unsigned i = first - SPLITS; i < first; i++)
+        assert_true (is_former (table, i));
+      assert_false (is_former (table, first));
+      assert_in_range (table->routes[0].former_count, SPLITS, BL_FORMER_MAX);
+      bl_route_table_free (before);
+      before = table;
+    }
+  bl_route_table_free (before);
+}
+
 /* A traffic split must divide flows by weight, and all balancers must choose
    the same service for a flow.  */
 static void
 test_split (void **state)
 {
-  struct bl_route_entry route = { .split_count = 2 };
+  struct bl_split splits[] = { { .weight = 90 }, { .weight = 10 } };
+  struct bl_route_entry route = { .split_count = 2, .splits = splits };
   unsigned second = 0;
 
   (void)state;
-  route.splits[0].weight = 90;
-  route.splits[1].weight = 10;
   for (uint64_t i = 0; i < 10000; i++)
     {
       struct bl_flow_key key = { (uint32_t)i, 2, 3, 4 };
@@ -731,6 +813,8 @@
     cmocka_unit_test (test_routes),
     cmocka_unit_test (test_many_routes),
     cmocka_unit_test (test_split),
+    cmocka_unit_test (test_wide_split),
+    cmocka_unit_test (test_former_services),
     cmocka_unit_test (test_link_round_trip),
     cmocka_unit_test (test_deep_nesting),
     cmocka_unit_test (test_records),
