A route that cannot be read stays as it was

Callers may see: resets of open flows and refusals of new ones on a route of which a new version cannot be read; no new version in force at all if the parser refuses a number or the depth of one route. Cause: a configuration was parsed as a whole, and a route that was left out counted as dropped.

--- a/core/dispatch_state.c
+++ b/core/dispatch_state.c
@@ -39,6 +39,7 @@
                        uint64_t now,
                        struct bl_route_table *table)
 {
+  size_t kept;
   int err;
 
   d->now = now;
@@ -47,7 +48,9 @@
       bl_route_table_free (table);
       return BL_ESTALE;
     }
-  err = bl_route_table_set_former (table, d->table);
+  err = bl_route_table_keep_unreadable (table, d->table, &kept);
+  if (err == BL_OK)
+    err = bl_route_table_set_former (table, d->table);
   if (err != BL_OK)
     {
       bl_route_table_free (table);
@@ -56,7 +59,9 @@
   bl_route_table_free (d->table);
   d->table = table;
   d->update_pending = true;
-  bl_dispatch_log_decision (d, "configured", "newer_version", NULL, NULL, 0);
+  bl_dispatch_log_decision (
+      d, "configured", kept > 0 ? "newer_version_routes_kept" : "newer_version",
+      NULL, NULL, 0);
   return BL_OK;
 }
 
--- a/core/route_table.c
+++ b/core/route_table.c
@@ -15,12 +15,11 @@
   if (table == NULL)
     return NULL;
   table->routes = calloc (cap + 1, sizeof *table->routes);
-  if (table->routes == NULL)
-    {
-      free (table);
-      return NULL;
-    }
-  return table;
+  table->unreadable = calloc (cap + 1, sizeof *table->unreadable);
+  if (table->routes != NULL && table->unreadable != NULL)
+    return table;
+  bl_route_table_free (table);
+  return NULL;
 }
 
 int
@@ -58,6 +57,7 @@
   for (size_t i = 0; i < table->count; i++)
     bl_route_clear (&table->routes[i]);
   free (table->routes);
+  free (table->unreadable);
   free (table);
 }
 
@@ -91,6 +91,51 @@
                   compare_routes);
 }
 
+/* Copies a route, without its former services.  */
+static int
+copy_route (struct bl_route_entry *out, const struct bl_route_entry *route)
+{
+  int err = BL_OK;
+
+  *out = *route;
+  out->split_count = 0;
+  out->splits = NULL;
+  out->former_count = 0;
+  out->former = NULL;
+  for (size_t i = 0; i < route->split_count && err == BL_OK; i++)
+    err = bl_route_add_split (out, &route->splits[i].service,
+                              route->splits[i].weight);
+  if (err != BL_OK)
+    bl_route_clear (out);
+  return err;
+}
+
+int
+bl_route_table_keep_unreadable (struct bl_route_table *table,
+                                const struct bl_route_table *replaced,
+                                size_t *kept)
+{
+  int err = BL_OK;
+
+  *kept = 0;
+  for (size_t i = 0; i < table->unreadable_count && err == BL_OK; i++)
+    {
+      struct bl_addr addr = table->unreadable[i];
+      const struct bl_route_entry *before
+          = bl_route_table_find (replaced, addr.ip, addr.port);
+      if (before == NULL
+          || bl_route_table_find (table, addr.ip, addr.port) != NULL)
+        continue;
+      err = copy_route (&table->routes[table->count], before);
+      if (err != BL_OK)
+        break;
+      table->count++;
+      ++*kept;
+      bl_route_table_sort (table);
+    }
+  return err;
+}
+
 static bool
 leads_to (const struct bl_route_entry *route, uint64_t service)
 {
--- a/core/route_table.h
+++ b/core/route_table.h
@@ -43,8 +43,12 @@
   uint32_t idle_ms; /* idle time after which a flow may be dropped */
   size_t count;
   struct bl_route_entry *routes; /* owned; sorted by bl_route_table_sort */
+  /* Routes that are there but cannot be read, by their address and port.  */
+  size_t unreadable_count;
+  struct bl_addr *unreadable; /* owned; room for as many as ROUTES */
 };
 
+/* Creates an empty table with room for CAP routes, readable or not.  */
 struct bl_route_table *bl_route_table_new (size_t cap);
 void bl_route_table_free (struct bl_route_table *table);
 /* Adds a service to ROUTE.  Returns BL_OK or BL_ENOMEM.  */
@@ -55,6 +59,12 @@
 void bl_route_clear (struct bl_route_entry *route);
 /* Sorts the routes by address and port.  Call once, after all were added.  */
 void bl_route_table_sort (struct bl_route_table *table);
+/* Adds those routes of REPLACED to TABLE that are there but cannot be read: a
+   route that cannot be read is kept as it was.  Stores their number in *KEPT.
+   Returns BL_OK or BL_ENOMEM.  */
+int bl_route_table_keep_unreadable (struct bl_route_table *table,
+                                    const struct bl_route_table *replaced,
+                                    size_t *kept);
 /* Sets the former services of each route in TABLE from the table that TABLE
    replaces.  Call after bl_route_table_sort.  Returns BL_OK or BL_ENOMEM.  */
 int bl_route_table_set_former (struct bl_route_table *table,
--- a/test/test_dispatch.c
+++ b/test/test_dispatch.c
@@ -1867,6 +1867,33 @@
   bl_dispatch_free (d);
 }
 
+/* Guards against a route that is taken away because a new version of it cannot
+   be read; one that is not there any more is.  */
+static void
+test_unreadable_route_is_kept (void **state)
+{
+  struct observed observed = { .queries = 0 };
+  struct bl_dispatch *d = new_balancer (&observed);
+  struct bl_route_table *unreadable = bl_route_table_new (1);
+  struct bl_route_table *empty = bl_route_table_new (1);
+
+  (void)state;
+  unreadable->version = 1000;
+  unreadable->unreadable_count = 1;
+  unreadable->unreadable[0]
+      = (struct bl_addr){ single_key.dst_ip, single_key.dst_port };
+  empty->version = 1001;
+  assert_int_equal (bl_dispatch_configure (d, 10, new_routes (999, "s", NULL)),
+                    BL_OK);
+  assert_int_equal (bl_dispatch_configure (d, 20, unreadable), BL_OK);
+  assert_non_null (bl_route_table_find (
+      bl_dispatch_table (d), single_key.dst_ip, single_key.dst_port));
+  assert_int_equal (bl_dispatch_configure (d, 30, empty), BL_OK);
+  assert_null (bl_route_table_find (bl_dispatch_table (d), single_key.dst_ip,
+                                    single_key.dst_port));
+  bl_dispatch_free (d);
+}
+
 int
 main (void)
 {
@@ -1877,6 +1904,7 @@
     cmocka_unit_test (test_silence),
     cmocka_unit_test (test_agent_returns),
     cmocka_unit_test (test_address_taken_over),
+    cmocka_unit_test (test_unreadable_route_is_kept),
     cmocka_unit_test (test_balancers_leave_in_turn),
     cmocka_unit_test (test_latest_leave),
     cmocka_unit_test (test_packets_held_during_lookup),
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -266,6 +266,27 @@
     { "no service",
       "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80/", "\"x\":1") "]}",
       BL_OK, 0, 1 },
+    { "one with a number that is too large",
+      "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80/", TO_A) "," ROUTE (
+          "1.2.3.4", "/81/", TO_A ",\"x\":1e999") "]}",
+      BL_OK, 1, 1 },
+    { "one that is nested deeply",
+      "{\"version\":7,\"routes\":[" ROUTE (
+          "1.2.3.4", "/81/",
+          TO_A
+          ",\"x\":[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]]"
+          "]]]]]]]]]]]]]") "," ROUTE ("1.2.3.4", "/80/", TO_A) "]}",
+      BL_OK, 1, 1 },
+    { "another member that cannot be read",
+      "{\"version\":7,\"x\":1e999,\"routes\":[" ROUTE ("1.2.3.4", "/80/",
+                                                       TO_A) "]}",
+      BL_OK, 1, 0 },
+    { "limits that cannot be read",
+      "{\"version\":7,\"limits\":[1e999],\"routes\":[" ROUTE ("1.2.3.4", "/80/",
+                                                              TO_A) "]}",
+      BL_OK, 1, 1 },
+    { "version is too large a number",
+      "{\"version\":99999999999999999999,\"routes\":[]}", BL_EFORMAT, 0, 1 },
     { "no version", "{\"routes\":[]}", BL_EFORMAT, 0, 1 },
     { "version is text", "{\"version\":\"7\",\"routes\":[]}", BL_EFORMAT, 0,
       1 },
@@ -318,6 +339,51 @@
   bl_route_table_free (table);
 }
 
+/* Guards against open flows that are reset because their route cannot be read
+   in a new version: it stays as it was, and others change as they should.  */
+static void
+test_unreadable_routes (void **state)
+{
+  static const char *const before = "{\"version\":7,\"routes\":[" ROUTE (
+      "1.2.3.4", "/80/", TO_A) "," ROUTE ("1.2.3.4", "/81/",
+                                          TO_A) "," ROUTE ("1.2.3.4", "/82/",
+                                                           TO_A) "]}";
+  static const char *const after = "{\"version\":8,\"routes\":[" ROUTE (
+      "1.2.3.4", "/80/",
+      "\"service\":\"b\"") "," ROUTE ("1.2.3.4", "/81/",
+                                      "\"service\":[1e999]") "," ROUTE ("1.2.3."
+                                                                        "4",
+                                                                        "/83/",
+                                                                        "\"serv"
+                                                                        "ice\":"
+                                                                        "1") "]"
+                                                                             "}";
+  struct bl_findings f = { .count = 0 };
+  struct bl_route_table *old;
+  struct bl_route_table *table;
+  const struct bl_route_entry *route;
+  size_t kept;
+
+  (void)state;
+  assert_int_equal (platform_route_table_parse (&old, bl_str_of (before), &f),
+                    BL_OK);
+  assert_int_equal (platform_route_table_parse (&table, bl_str_of (after), &f),
+                    BL_OK);
+  assert_int_equal (f.count, 2);
+  assert_int_equal (bl_route_table_keep_unreadable (table, old, &kept), BL_OK);
+  assert_int_equal (kept, 1);
+  assert_int_equal (table->count, 2);
+  route = bl_route_table_find (table, 0x01020304, 80);
+  assert_string_equal (route->splits[0].service.s, "b");
+  route = bl_route_table_find (table, 0x01020304, 81);
+  assert_non_null (route);
+  assert_string_equal (route->splits[0].service.s, "a");
+  assert_null (bl_route_table_find (table, 0x01020304, 82));
+  assert_null (bl_route_table_find (table, 0x01020304, 83));
+  bl_route_table_free (old);
+  bl_route_table_free (table);
+}
+
 #define SPLITS 300
 
 /* Guards against a valid route that is left out: it may lead to hundreds of
@@ -813,6 +879,7 @@
     cmocka_unit_test (test_routes),
     cmocka_unit_test (test_many_routes),
     cmocka_unit_test (test_split),
+    cmocka_unit_test (test_unreadable_routes),
     cmocka_unit_test (test_wide_split),
     cmocka_unit_test (test_former_services),
     cmocka_unit_test (test_link_round_trip),
