--- a/soak/soak.sh
+++ b/soak/soak.sh
@@ -86,14 +86,36 @@
   store_fault restore=repeat
 }
 
+# One agent lives while the store is down; its next process starts when it is back.
+restart_in_outage () {
+  stop "$1-agent"
+  store_fault mode=down
+  restart_agent "$1"
+  sleep $((1 + RANDOM % 2)).$((RANDOM % 9))
+  stop "$1-agent"
+  store_fault mode=up
+  restart_agent "$1"
+}
+
+# The store turns one agent away while it and another one restart.
+restart_turned_away () {
+  store_fault turn_away="$1"
+  stop_agent "$1"
+  sleep $((1 + RANDOM % 2)).$((RANDOM % 9))
+  stop_agent "$2"
+  stop_agent "$1"
+  store_fault turn_away=-
+}
+
 # Injects one random fault; faults in the background overlap with the next.
 inject_fault () {
-  local b w
+  local b w v
   pick b1 b2 b3; b=$PICK
   pick "${SERVERS[@]}"; w=$PICK
+  pick "${SERVERS[@]}"; v=$PICK
   # Clock offset of the next process that starts.
   CLOCK=$((RANDOM % 4 * 2500))
-  case $((RANDOM % 22)) in
+  case $((RANDOM % 24)) in
     0) echo "kill $b"; kill -KILL "${PID_OF[$b]}"; sleep 0.5; restart_balancer $b ;;
     1) echo "stop $b"; stop $b; restart_balancer $b ;;
     2) echo "pause $b"; pause $b 1 & ;;
@@ -118,6 +140,8 @@
     19) echo "restart agent $w twice"; restart_twice $w ;;
     20) echo "store restored"; restore_store & ;;
     21) echo "store restored twice"; (restore_store; restore_store) & ;;
+    22) echo "agent $w in an outage"; restart_in_outage $w ;;
+    23) echo "store turns $w away"; restart_turned_away $w $v ;;
   esac
 }
 
@@ -167,6 +191,7 @@
 done
 sleep 7 # longer than the faults in the background
 store_fault mode=up
+store_fault turn_away=-
 wire mend
 put_routes $((VERSION + 1)) web
 for b in b1 b2 b3; do wait_for 15 dispatcher_ready $b || fail "$b is not ready"; done
--- a/standin/store.c
+++ b/standin/store.c
@@ -4,6 +4,8 @@
    in pages, conditional writes and watches, all in memory.  POST /fault injects
    faults:
      mode=down | up     while down, each call is answered with 503
+     turn_away=NAME     calls about objects of that name, as the machine of
+                        that name makes them, are answered with 429; "-": none
      lose_answers=N     the next N writes take effect but get no response
      forget=1           the history is dropped; watches from the current or an
                         earlier revision are answered with 410
@@ -69,7 +71,8 @@
   bool down;
   bool away;
   uint64_t interruptions; /* incremented when all waiting watches are cut */
-  int lose_answers;       /* writes left that get no response */
+  char turned_away[KEY_MAX_BYTES]; /* name; empty: none */
+  int lose_answers;                /* writes left that get no response */
   uint64_t calls;
   uint64_t era;
   struct object *copy; /* by key */
@@ -383,6 +386,20 @@
   return json;
 }
 
+/* Returns true if a call about PATH, with BODY if it creates an object, is
+   about an object of the name that is turned away.  */
+static bool
+is_turned_away (const char *path, const json_t *body)
+{
+  const char *slash = strchr (path, '/');
+  const char *name = slash != NULL ? slash + 1
+                                   : json_string_value (json_object_get (
+                                       json_object_get (body, "meta"), "name"));
+
+  return state.turned_away[0] != '\0' && name != NULL
+         && strcmp (name, state.turned_away) == 0;
+}
+
 static int
 on_objects (struct mg_connection *conn, void *ctx)
 {
@@ -403,6 +420,8 @@
     }
   else if (state.down)
     status = respond (conn, 503, NULL);
+  else if (is_turned_away (path, body))
+    status = respond (conn, 429, NULL);
   else if (strcmp (method, "GET") == 0)
     status = on_get (conn, path);
   else if (strcmp (method, "DELETE") == 0)
@@ -500,6 +519,9 @@
       state.away = strcmp (value, "away") == 0;
       state.interruptions += state.away ? 1 : 0;
     }
+  if (mg_get_var (body, (size_t)len, "turn_away", value, sizeof value) > 0)
+    snprintf (state.turned_away, sizeof state.turned_away, "%s",
+              strcmp (value, "-") != 0 ? value : "");
   if (mg_get_var (body, (size_t)len, "lose_answers", value, sizeof value) > 0)
     state.lose_answers = atoi (value);
   if (mg_get_var (body, (size_t)len, "forget", value, sizeof value) > 0)
