Lint: tables of tests outside of functions, the name of fuzz targets

Change: two tables of cases moved out of their tests, unchanged; fuzz/fuzz.h gives the targets a name of the project's; records are compared by their text. Result: make lint and check-format exit 0.

--- a/Makefile
+++ b/Makefile
@@ -120,7 +120,7 @@
 
 SOURCES = $(wildcard *.h core/*.[ch] io/*.[ch] daemon/*.[ch] ctl/*.[ch] \
           platform/*.[ch] emulator/*.[ch] \
-          standin/*.[ch] test/*.[ch] bench/*.[ch] examples/*.[ch] fuzz/*.c explore/*.c)
+          standin/*.[ch] test/*.[ch] bench/*.[ch] examples/*.[ch] fuzz/*.[ch] explore/*.c)
 
 packages:
 	./install-packages.sh
--- a/fuzz/fuzz_answer.c
+++ b/fuzz/fuzz_answer.c
@@ -1,13 +1,13 @@
 /* fuzz_answer.c -- parts of JSON texts that are read without parsing the rest:
    where the parser reads the whole text, the parts must be the same  */
 
+#include "fuzz/fuzz.h"
+
 #include "core/json.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
-
 static void
 compare_value (struct bl_str part, const json_t *want)
 {
@@ -76,7 +76,7 @@
 }
 
 int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+fuzz_input (const uint8_t *data, size_t size)
 {
   struct bl_str text = { (const char *)data, size };
   json_t *json;
--- a/fuzz/fuzz_handover.c
+++ b/fuzz/fuzz_handover.c
@@ -1,13 +1,13 @@
 /* fuzz_handover.c -- flow tables in the platform's store: one that is valid
    must be read back as it was written  */
 
+#include "fuzz/fuzz.h"
+
 #include "core/handover.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
-
 static void
 check_handover (const struct bl_handover *handover)
 {
@@ -24,7 +24,7 @@
 }
 
 int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+fuzz_input (const uint8_t *data, size_t size)
 {
   char *text = malloc (size + 1);
   struct bl_handover handover;
--- a/fuzz/fuzz_heartbeat.c
+++ b/fuzz/fuzz_heartbeat.c
@@ -1,13 +1,13 @@
 /* fuzz_heartbeat.c -- heartbeats of backend servers, as read over HTTP  */
 
+#include "fuzz/fuzz.h"
+
 #include "platform/platform.h"
 
 #include <stdlib.h>
 
-int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
-
 int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+fuzz_input (const uint8_t *data, size_t size)
 {
   static struct bl_findings findings;
   struct bl_heartbeat heartbeat;
--- a/fuzz/fuzz_message.c
+++ b/fuzz/fuzz_message.c
@@ -1,12 +1,12 @@
 /* fuzz_message.c -- control messages between instances: one that is valid must
    be read back after it was encoded  */
 
+#include "fuzz/fuzz.h"
+
 #include "core/msg.h"
 
 #include <stdlib.h>
 
-int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
-
 static void
 check_message (const struct bl_msg *msg)
 {
@@ -34,7 +34,7 @@
 }
 
 int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+fuzz_input (const uint8_t *data, size_t size)
 {
   struct bl_msg msg;
 
--- a/fuzz/fuzz_packet.c
+++ b/fuzz/fuzz_packet.c
@@ -1,14 +1,14 @@
 /* fuzz_packet.c -- what balancers and agents receive as datagrams: packets of
    both transports, link messages with a packet, forwarding headers  */
 
+#include "fuzz/fuzz.h"
+
 #include "core/link.h"
 #include "platform/platform.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
-
 static void
 check_link (const uint8_t *data, size_t size)
 {
@@ -27,7 +27,7 @@
 }
 
 int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+fuzz_input (const uint8_t *data, size_t size)
 {
   struct platform_packet packet;
   struct bl_packet ip_packet;
--- a/fuzz/fuzz_record.c
+++ b/fuzz/fuzz_record.c
@@ -1,27 +1,31 @@
 /* fuzz_record.c -- membership records in the platform's store: one that is
    valid must be read back as it was written  */
 
+#include "fuzz/fuzz.h"
+
 #include "core/store.h"
 
 #include <stdlib.h>
 #include <string.h>
 
-int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
-
 static void
 check_record (const struct bl_record *record)
 {
   char *text = bl_record_format (record);
   struct bl_record again;
+  char *same;
 
-  if (text == NULL || bl_record_parse (&again, text) != BL_OK
-      || memcmp (&again, record, sizeof again) != 0)
+  if (text == NULL || bl_record_parse (&again, text) != BL_OK)
+    abort ();
+  same = bl_record_format (&again);
+  if (same == NULL || strcmp (same, text) != 0)
     abort ();
   free (text);
+  free (same);
 }
 
 int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+fuzz_input (const uint8_t *data, size_t size)
 {
   char *text = malloc (size + 1);
   struct bl_record record;
--- a/fuzz/fuzz_routes.c
+++ b/fuzz/fuzz_routes.c
@@ -1,12 +1,12 @@
 /* fuzz_routes.c -- configurations: each route of a table must be found in it
    and lead somewhere, and a table must be able to replace itself  */
 
+#include "fuzz/fuzz.h"
+
 #include "platform/platform.h"
 
 #include <stdlib.h>
 
-int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
-
 static void
 check_table (struct bl_route_table *table)
 {
@@ -25,7 +25,7 @@
 }
 
 int
-LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+fuzz_input (const uint8_t *data, size_t size)
 {
   static struct bl_findings findings;
   struct bl_str text = { (const char *)data, size };
--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -520,92 +520,94 @@
     }
 }
 
+static const struct
+{
+  const char *name;
+  struct input inputs[3];
+  uint64_t input_ms[3];
+  uint32_t recorded; /* version of the record that the store has at NOW */
+  uint64_t now;
+  enum bl_instance_state want;
+} record_waits[] = {
+  { "not recorded",
+    { { CONNECTED, 0, 0 } },
+    { 10 },
+    0,
+    1400,
+    BL_STATE_STARTING },
+  { "not recorded for 1.5 s",
+    { { CONNECTED, 0, 0 } },
+    { 10 },
+    0,
+    1501,
+    BL_STATE_READY },
+  { "recorded", { { CONNECTED, 0, 0 } }, { 10 }, 1, 50, BL_STATE_READY },
+  { "recorded, the heartbeat comes first",
+    { { HB_READY, INCARNATION - 60000, 9 } },
+    { 10 },
+    1,
+    50,
+    BL_STATE_READY },
+  { "a drain is not withheld",
+    { { HB_DRAINING, INCARNATION - 60000, 9 } },
+    { 10 },
+    0,
+    50,
+    BL_STATE_DRAINING },
+  { "a server that starts later, not recorded",
+    { { REFUSED, 0, 0 }, { HB_READY, INCARNATION + 1400, 1 } },
+    { 10, 1400 },
+    0,
+    2800,
+    BL_STATE_STARTING },
+  { "the same for 1.5 s",
+    { { REFUSED, 0, 0 }, { HB_READY, INCARNATION + 1400, 1 } },
+    { 10, 1400 },
+    0,
+    2901,
+    BL_STATE_READY },
+  { "a new start of the server, the record names the one before",
+    { { HB_READY, INCARNATION - 60000, 9 },
+      { HB_READY, INCARNATION + 5000, 1 } },
+    { 10, 5000 },
+    2,
+    5100,
+    BL_STATE_STARTING },
+  { "the same, recorded",
+    { { HB_READY, INCARNATION - 60000, 9 },
+      { HB_READY, INCARNATION + 5000, 1 } },
+    { 10, 5000 },
+    9,
+    5100,
+    BL_STATE_READY },
+  { "the agent stops",
+    { { CONNECTED, 0, 0 }, { STOP, 0, 0 } },
+    { 10, 20 },
+    9,
+    3000,
+    BL_STATE_STARTING },
+};
+
 /* Guards against a process that accepts flows and leaves no trace in the store,
    so that its next process denies them: it is not ready before its record is
    written, or 1.5 s have passed.  */
 static void
 test_ready_when_recorded (void **state)
 {
-  static const struct
-  {
-    const char *name;
-    struct input inputs[3];
-    uint64_t input_ms[3];
-    uint32_t recorded; /* version of the record that the store has at NOW */
-    uint64_t now;
-    enum bl_instance_state want;
-  } cases[] = {
-    { "not recorded",
-      { { CONNECTED, 0, 0 } },
-      { 10 },
-      0,
-      1400,
-      BL_STATE_STARTING },
-    { "not recorded for 1.5 s",
-      { { CONNECTED, 0, 0 } },
-      { 10 },
-      0,
-      1501,
-      BL_STATE_READY },
-    { "recorded", { { CONNECTED, 0, 0 } }, { 10 }, 1, 50, BL_STATE_READY },
-    { "recorded, the heartbeat comes first",
-      { { HB_READY, INCARNATION - 60000, 9 } },
-      { 10 },
-      1,
-      50,
-      BL_STATE_READY },
-    { "a drain is not withheld",
-      { { HB_DRAINING, INCARNATION - 60000, 9 } },
-      { 10 },
-      0,
-      50,
-      BL_STATE_DRAINING },
-    { "a server that starts later, not recorded",
-      { { REFUSED, 0, 0 }, { HB_READY, INCARNATION + 1400, 1 } },
-      { 10, 1400 },
-      0,
-      2800,
-      BL_STATE_STARTING },
-    { "the same for 1.5 s",
-      { { REFUSED, 0, 0 }, { HB_READY, INCARNATION + 1400, 1 } },
-      { 10, 1400 },
-      0,
-      2901,
-      BL_STATE_READY },
-    { "a new start of the server, the record names the one before",
-      { { HB_READY, INCARNATION - 60000, 9 },
-        { HB_READY, INCARNATION + 5000, 1 } },
-      { 10, 5000 },
-      2,
-      5100,
-      BL_STATE_STARTING },
-    { "the same, recorded",
-      { { HB_READY, INCARNATION - 60000, 9 },
-        { HB_READY, INCARNATION + 5000, 1 } },
-      { 10, 5000 },
-      9,
-      5100,
-      BL_STATE_READY },
-    { "the agent stops",
-      { { CONNECTED, 0, 0 }, { STOP, 0, 0 } },
-      { 10, 20 },
-      9,
-      3000,
-      BL_STATE_STARTING },
-  };
-
   (void)state;
-  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+  for (size_t i = 0; i < sizeof record_waits / sizeof record_waits[0]; i++)
     {
       struct observed observed = { .delivered = 0 };
       struct bl_passthrough *p = new_agent_that (&observed, true);
       bl_passthrough_tick (p, 1);
-      for (size_t k = 0; k < 3 && cases[i].inputs[k].kind != INPUT_END; k++)
-        pass_input (p, cases[i].input_ms[k], &cases[i].inputs[k]);
-      bl_passthrough_note_recorded (p, cases[i].now, cases[i].recorded);
-      bl_passthrough_tick (p, cases[i].now);
-      if (bl_passthrough_record (p)->state != cases[i].want)
-        fail_msg ("%s: %s", cases[i].name,
+      for (size_t k = 0; k < 3 && record_waits[i].inputs[k].kind != INPUT_END;
+           k++)
+        pass_input (p, record_waits[i].input_ms[k], &record_waits[i].inputs[k]);
+      bl_passthrough_note_recorded (p, record_waits[i].now,
+                                    record_waits[i].recorded);
+      bl_passthrough_tick (p, record_waits[i].now);
+      if (bl_passthrough_record (p)->state != record_waits[i].want)
+        fail_msg ("%s: %s", record_waits[i].name,
                   bl_state_name (bl_passthrough_record (p)->state));
       bl_passthrough_free (p);
     }
--- a/test/test_platform.c
+++ b/test/test_platform.c
@@ -235,77 +235,79 @@
   "\"priority\":2," to "}"
 #define TO_A "\"service\":\"a\""
 
+static const struct
+{
+  const char *name;
+  const char *text;
+  int want;
+  size_t routes;
+  size_t findings;
+} route_texts[] = {
+  { "one", "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80/", TO_A) "]}",
+    BL_OK, 1, 0 },
+  { "a split",
+    "{\"version\":7,\"routes\":[" ROUTE (
+        "1.2.3.4",
+        "/80/",
+        "\"trafficSplit\":[{\"service\":\"a\",\"weight\":90},"
+        "{\"service\":\"b\",\"weight\":10}]") "]}",
+    BL_OK, 1, 0 },
+  { "an invalid one of two is left out",
+    "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80/", TO_A) "," ROUTE (
+        "1.2.3", "/80/", TO_A) "]}",
+    BL_OK, 1, 1 },
+  { "port beyond 65535",
+    "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/70000/", TO_A) "]}",
+    BL_OK, 0, 1 },
+  { "port without slash",
+    "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80", TO_A) "]}", BL_OK, 0,
+    1 },
+  { "no service",
+    "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80/", "\"x\":1") "]}",
+    BL_OK, 0, 1 },
+  { "one with a number that is too large",
+    "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80/", TO_A) "," ROUTE (
+        "1.2.3.4", "/81/", TO_A ",\"x\":1e999") "]}",
+    BL_OK, 1, 1 },
+  { "one that is nested deeply",
+    "{\"version\":7,\"routes\":[" ROUTE (
+        "1.2.3.4",
+        "/81/",
+        TO_A
+        ",\"x\":[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]]"
+        "]]]]]]]]]]]]]") "," ROUTE ("1.2.3.4", "/80/", TO_A) "]}",
+    BL_OK, 1, 1 },
+  { "another member that cannot be read",
+    "{\"version\":7,\"x\":1e999,\"routes\":[" ROUTE (
+        "1.2.3.4", "/80/", TO_A) "]}",
+    BL_OK, 1, 0 },
+  { "limits that cannot be read",
+    "{\"version\":7,\"limits\":[1e999],\"routes\":[" ROUTE (
+        "1.2.3.4", "/80/", TO_A) "]}",
+    BL_OK, 1, 1 },
+  { "version is too large a number",
+    "{\"version\":99999999999999999999,\"routes\":[]}", BL_EFORMAT, 0, 1 },
+  { "no version", "{\"routes\":[]}", BL_EFORMAT, 0, 1 },
+  { "version is text", "{\"version\":\"7\",\"routes\":[]}", BL_EFORMAT, 0, 1 },
+  { "no list", "{\"version\":7}", BL_EFORMAT, 0, 1 },
+  { "cut short", "{\"version\":7,\"routes\":[", BL_EFORMAT, 0, 1 },
+};
+
 static void
 test_routes (void **state)
 {
-  static const struct
-  {
-    const char *name;
-    const char *text;
-    int want;
-    size_t routes;
-    size_t findings;
-  } cases[] = {
-    { "one", "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80/", TO_A) "]}",
-      BL_OK, 1, 0 },
-    { "a split",
-      "{\"version\":7,\"routes\":[" ROUTE (
-          "1.2.3.4", "/80/",
-          "\"trafficSplit\":[{\"service\":\"a\",\"weight\":90},"
-          "{\"service\":\"b\",\"weight\":10}]") "]}",
-      BL_OK, 1, 0 },
-    { "an invalid one of two is left out",
-      "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80/", TO_A) "," ROUTE (
-          "1.2.3", "/80/", TO_A) "]}",
-      BL_OK, 1, 1 },
-    { "port beyond 65535",
-      "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/70000/", TO_A) "]}",
-      BL_OK, 0, 1 },
-    { "port without slash",
-      "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80", TO_A) "]}", BL_OK,
-      0, 1 },
-    { "no service",
-      "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80/", "\"x\":1") "]}",
-      BL_OK, 0, 1 },
-    { "one with a number that is too large",
-      "{\"version\":7,\"routes\":[" ROUTE ("1.2.3.4", "/80/", TO_A) "," ROUTE (
-          "1.2.3.4", "/81/", TO_A ",\"x\":1e999") "]}",
-      BL_OK, 1, 1 },
-    { "one that is nested deeply",
-      "{\"version\":7,\"routes\":[" ROUTE (
-          "1.2.3.4", "/81/",
-          TO_A
-          ",\"x\":[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]]"
-          "]]]]]]]]]]]]]") "," ROUTE ("1.2.3.4", "/80/", TO_A) "]}",
-      BL_OK, 1, 1 },
-    { "another member that cannot be read",
-      "{\"version\":7,\"x\":1e999,\"routes\":[" ROUTE ("1.2.3.4", "/80/",
-                                                       TO_A) "]}",
-      BL_OK, 1, 0 },
-    { "limits that cannot be read",
-      "{\"version\":7,\"limits\":[1e999],\"routes\":[" ROUTE ("1.2.3.4", "/80/",
-                                                              TO_A) "]}",
-      BL_OK, 1, 1 },
-    { "version is too large a number",
-      "{\"version\":99999999999999999999,\"routes\":[]}", BL_EFORMAT, 0, 1 },
-    { "no version", "{\"routes\":[]}", BL_EFORMAT, 0, 1 },
-    { "version is text", "{\"version\":\"7\",\"routes\":[]}", BL_EFORMAT, 0,
-      1 },
-    { "no list", "{\"version\":7}", BL_EFORMAT, 0, 1 },
-    { "cut short", "{\"version\":7,\"routes\":[", BL_EFORMAT, 0, 1 },
-  };
-
   (void)state;
-  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+  for (size_t i = 0; i < sizeof route_texts / sizeof route_texts[0]; i++)
     {
       struct bl_findings f = { .count = 0 };
       struct bl_route_table *table;
-      int got
-          = platform_route_table_parse (&table, bl_str_of (cases[i].text), &f);
-      if (got != cases[i].want || f.count != cases[i].findings)
-        fail_msg ("%s: got %d, %zu findings", cases[i].name, got, f.count);
-      if (table != NULL && table->count != cases[i].routes)
-        fail_msg ("%s: %zu routes", cases[i].name, table->count);
+      int got = platform_route_table_parse (
+          &table, bl_str_of (route_texts[i].text), &f);
+      if (got != route_texts[i].want || f.count != route_texts[i].findings)
+        fail_msg ("%s: got %d, %zu findings", route_texts[i].name, got,
+                  f.count);
+      if (table != NULL && table->count != route_texts[i].routes)
+        fail_msg ("%s: %zu routes", route_texts[i].name, table->count);
       bl_route_table_free (table);
     }
 }
