--- a/Makefile
+++ b/Makefile
@@ -92,7 +92,8 @@
 
 FUZZERS = $(patsubst fuzz/%.c,$(B)/%,$(wildcard fuzz/fuzz_*.c))
 
-$(FUZZERS): $(B)/fuzz_%: $(B)/fuzz/fuzz_%.o $(PLATFORM) $(IO) $(B)/libboragelatch.a
+$(FUZZERS): $(B)/fuzz_%: $(B)/fuzz/fuzz_%.o $(B)/fuzz/fuzz.o $(PLATFORM) $(IO) \
+            $(B)/libboragelatch.a
 	@$(CC) $(CFLAGS) -fsanitize=fuzzer $^ -o $@ $(CORE_LIBS) $(IO_LIBS)
 
 $(B)/seeds: $(B)/fuzz/seeds.o $(B)/libboragelatch.a
--- a/fuzz/fuzz.h
+++ b/fuzz/fuzz.h
@@ -11,4 +11,7 @@
 int fuzz_input (const uint8_t *data,
                 size_t size) __asm__("LLVMFuzzerTestOneInput");
 
+/* Returns a copy of the input as a string, to be released with free().  */
+char *fuzz_copy_text (const uint8_t *data, size_t size);
+
 #endif
--- a/fuzz/fuzz_handover.c
+++ b/fuzz/fuzz_handover.c
@@ -6,7 +6,6 @@
 #include "core/handover.h"
 
 #include <stdlib.h>
-#include <string.h>
 
 static void
 check_handover (const struct bl_handover *handover)
@@ -26,13 +25,9 @@
 int
 fuzz_input (const uint8_t *data, size_t size)
 {
-  char *text = malloc (size + 1);
+  char *text = fuzz_copy_text (data, size);
   struct bl_handover handover;
 
-  if (text == NULL)
-    return 0;
-  memcpy (text, data, size);
-  text[size] = '\0';
   if (bl_handover_parse (&handover, text) == BL_OK)
     check_handover (&handover);
   bl_handover_clear (&handover);
--- a/fuzz/fuzz_record.c
+++ b/fuzz/fuzz_record.c
@@ -27,13 +27,9 @@
 int
 fuzz_input (const uint8_t *data, size_t size)
 {
-  char *text = malloc (size + 1);
+  char *text = fuzz_copy_text (data, size);
   struct bl_record record;
 
-  if (text == NULL)
-    return 0;
-  memcpy (text, data, size);
-  text[size] = '\0';
   if (bl_record_parse (&record, text) == BL_OK)
     check_record (&record);
   free (text);
