A later start of the server is not always after that of its agent

Cause: any heartbeat of a later start counted as a start that this process had seen, so its flow table counted as complete. Change: the start counts as seen only if it is after this process's, by clock and number, as for the first heartbeat.

--- a/core/passthrough_backend.c
+++ b/core/passthrough_backend.c
@@ -29,7 +29,7 @@
   pass->heartbeat_seq = 0;
   pass->unanswered_since_ms = 0;
   pass->backend_left = false;
-  pass->backend_start_seen = true;
+  bl_passthrough_note_start_of_backend (pass, heartbeat);
   bl_passthrough_require_record (pass);
 }
 
--- a/core/passthrough_inner.h
+++ b/core/passthrough_inner.h
@@ -163,10 +163,10 @@
 /* passthrough_history.c */
 /* Returns what shows that the flow table is complete, and logs a change.  */
 enum bl_evidence bl_passthrough_evidence (struct bl_passthrough *pass);
-/* Notes what the first heartbeat tells about flows that are older than this
-   process.  A server that started after it has got all its packets from it. One
-   that is a little older may hold flows that an earlier process of this agent
-   delivered.  */
+/* Notes what the first heartbeat of a server tells about flows that are older
+   than this process.  A server that started after it has got all its packets
+   from it. One that is a little older may hold flows that an earlier process of
+   this agent delivered.  */
 void
 bl_passthrough_note_start_of_backend (struct bl_passthrough *pass,
                                       const struct bl_heartbeat *heartbeat);
