--- a/test/test_pass.c
+++ b/test/test_pass.c
@@ -520,6 +520,49 @@
     }
 }
 
+/* Guards against the reset of live flows after the first heartbeat was a late
+   one of an earlier start: the server's own then names a later start, but one
+   from before this process, so it may hold older flows.  */
+static void
+test_server_after_late_heartbeat (void **state)
+{
+  static const struct
+  {
+    const char *name;
+    struct input inputs[2];
+    enum bl_link_type want;
+  } cases[] = {
+    { "a server from before this process",
+      { { HB_READY, INCARNATION - 90000, 9 },
+        { HB_READY, INCARNATION - 60000, 50 } },
+      BL_LINK_INCOMPLETE },
+    { "a server from the time of the start of this process",
+      { { HB_READY, INCARNATION - 90000, 9 },
+        { HB_READY, INCARNATION - 300, 2 } },
+      BL_LINK_INCOMPLETE },
+    { "a server that has started again",
+      { { HB_READY, INCARNATION - 90000, 9 },
+        { HB_READY, INCARNATION + 1900, 1 } },
+      BL_LINK_NOT_OWNED },
+    { "the same, the first one started after this process too",
+      { { HB_READY, INCARNATION + 10, 1 },
+        { HB_READY, INCARNATION + 1900, 1 } },
+      BL_LINK_NOT_OWNED },
+  };
+
+  (void)state;
+  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
+    {
+      struct observed observed = { .delivered = 0 };
+      struct bl_passthrough *p = new_agent (&observed);
+      pass_input (p, 500, &cases[i].inputs[0]);
+      pass_input (p, 2000, &cases[i].inputs[1]);
+      if (query_owner (p, &observed, 2010) != cases[i].want)
+        fail_msg ("%s", cases[i].name);
+      bl_passthrough_free (p);
+    }
+}
+
 static const struct
 {
   const char *name;
@@ -588,49 +631,6 @@
     BL_STATE_STARTING },
 };
 
-/* Guards against the reset of live flows after the first heartbeat was a late
-   one of an earlier start: the server's own then names a later start, but one
-   from before this process, so it may hold older flows.  */
-static void
-test_server_after_late_heartbeat (void **state)
-{
-  static const struct
-  {
-    const char *name;
-    struct input inputs[2];
-    enum bl_link_type want;
-  } cases[] = {
-    { "a server from before this process",
-      { { HB_READY, INCARNATION - 90000, 9 },
-        { HB_READY, INCARNATION - 60000, 50 } },
-      BL_LINK_INCOMPLETE },
-    { "a server from the time of the start of this process",
-      { { HB_READY, INCARNATION - 90000, 9 },
-        { HB_READY, INCARNATION - 300, 2 } },
-      BL_LINK_INCOMPLETE },
-    { "a server that has started again",
-      { { HB_READY, INCARNATION - 90000, 9 },
-        { HB_READY, INCARNATION + 1900, 1 } },
-      BL_LINK_NOT_OWNED },
-    { "the same, the first one started after this process too",
-      { { HB_READY, INCARNATION + 10, 1 },
-        { HB_READY, INCARNATION + 1900, 1 } },
-      BL_LINK_NOT_OWNED },
-  };
-
-  (void)state;
-  for (size_t i = 0; i < sizeof cases / sizeof cases[0]; i++)
-    {
-      struct observed observed = { .delivered = 0 };
-      struct bl_passthrough *p = new_agent (&observed);
-      pass_input (p, 500, &cases[i].inputs[0]);
-      pass_input (p, 2000, &cases[i].inputs[1]);
-      if (query_owner (p, &observed, 2010) != cases[i].want)
-        fail_msg ("%s", cases[i].name);
-      bl_passthrough_free (p);
-    }
-}
-
 /* Guards against a process that accepts flows and leaves no trace in the store,
    so that its next process denies them: it is not ready before its record is
    written, or 1.5 s have passed.  */
