--- a/review/client-3.c
+++ b/review/client-3.c
@@ -3,7 +3,7 @@
    client-3 LOCAL ROUTE BALANCERS LONG FRESH SECONDS
 
    LOCAL is the IP:PORT that all clients receive at, ROUTE the IP:PORT that they
-   connect to, BALANCERS the IP:PORT of each balancer, separated by commas.  LONG
+   connect to, BALANCERS the IP:PORT of each balancer, separated by commas. LONG
    clients keep a flow open and send a request every half second; besides, FRESH
    flows a second are opened for one request each.  After SECONDS no further
    request is sent.  A packet goes to the balancer that a hash of its flow
@@ -258,8 +258,8 @@
     }
   else if (f->phase == WAITING && now - f->sent_ms >= f->wait_ms)
     {
-      f->wait_ms = f->wait_ms * 2 < RETRANSMIT_MAX ? f->wait_ms * 2
-                                                   : RETRANSMIT_MAX;
+      f->wait_ms
+          = f->wait_ms * 2 < RETRANSMIT_MAX ? f->wait_ms * 2 : RETRANSMIT_MAX;
       send_request (f);
     }
 }
@@ -315,8 +315,7 @@
         if (flows[i].phase != FREE)
           on_tick (&flows[i], now, ending);
       for (int i = (int)long_count;
-           i < FLOWS_MAX && !ending
-           && opened < (now - start_ms) * fresh / 1000;
+           i < FLOWS_MAX && !ending && opened < (now - start_ms) * fresh / 1000;
            i++)
         if (flows[i].phase == FREE)
           {
--- a/review/relay-3.c
+++ b/review/relay-3.c
@@ -132,7 +132,8 @@
         }
       for (int i = 0; i < PAIRS_MAX; i++)
         for (int k = 0; k < 2; k++)
-          if (pairs[i].fd[k] >= 0 && (polled[1 + 2 * i + k].revents & ~POLLNVAL))
+          if (pairs[i].fd[k] >= 0
+              && (polled[1 + 2 * i + k].revents & ~POLLNVAL))
             pass_on (&pairs[i], k);
       if (polled[0].revents & POLLIN)
         accept_one (listener, &to);
