--- a/review/deploy-3.sh
+++ b/review/deploy-3.sh
@@ -23,19 +23,6 @@
   PID_OF[$name]=$!
 }
 
-# stop NAME [SIGNAL]: sends a signal, SIGTERM if none is named, and waits for the
-# end of the process; after the grace period it is killed, as by the platform
-stop () {
-  local pid=${PID_OF[$1]}
-  kill "-${2:-TERM}" "$pid" 2>/dev/null
-  (sleep 6; kill -KILL "$pid" 2>/dev/null) &
-  local guard=$!
-  wait "$pid" 2>/dev/null
-  kill "$guard" 2>/dev/null
-  wait "$guard" 2>/dev/null
-  unset "PID_OF[$1]"
-}
-
 stop_all () {
   local pid
   for pid in "${PID_OF[@]}"; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
@@ -61,8 +48,6 @@
 # clock_ms: milliseconds of the steady clock
 clock_ms () { local up; read -r up _ </proc/uptime; echo $((10#${up/./} * 10)); }
 
-store_fault () { curl -sf -m 2 -X POST --data "$1" "http://$STORE/fault" >/dev/null; }
-
 start_store () {
   start store $BIN/standin-store --listen "$STORE"
   wait_for 10 curl -sf -m 1 "http://$STORE/stats" || unable "store"
